--- /dev/null
+++ b/quincepier/__init__.py
@@ -0,0 +1,1 @@
+"""quincepier: a request router before tiers of caches with one origin."""
--- /dev/null
+++ b/quincepier/interface.py
@@ -0,0 +1,277 @@
+"""What the decision module hears and says: settings, events and actions.
+
+Times are integer nanoseconds of one clock. Nothing here decides, reads or writes anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+
+class Effect(Enum):
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """The caches that drop the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Ending(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+    MISS = "miss"
+
+
+class Note(IntEnum):
+    """What an ending told of the copy or of the fill."""
+
+    NONE = 0
+    HIT = 1
+    FILLED = 2
+    FROM_ORIGIN = 3
+    JOINED = 4
+    STALE = 5
+    SOURCE_REFUSED = 6
+    SOURCE_BROKEN = 7
+    SOURCE_LACKS = 8
+    NO_FILL_PLACE = 9
+    ORIGIN_FAILED = 10
+
+
+class CacheState(Enum):
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+class ListScope(Enum):
+    CHANGES = 0
+    FAILED = 1
+    FULL = 2
+    REMEMBERED = 3
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    effect: Effect
+    group: Group
+    window: int
+    on_time: int
+    stretch: float
+    deadline: int
+    worth: float
+    stream: bool
+    fresh: int
+    grace: int
+    never_kept: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    zone: int
+    fronts: int
+    fronts_by_zone: tuple[int, ...]
+    classes: tuple[RequestClass, ...]
+    tenant_quotas: tuple[float, ...]
+    over_share_worth: float
+    parent_kind: int
+    origin_kind: int
+    direct: bool
+    joins: bool
+    siblings: bool
+    client_kb_per_s: float
+    sizes_compare: bool
+    purge_settles: int
+    cold_from: float
+    cold_multiple: float
+    cold_window: int
+    cold_time: int
+    parent_cold_from: float
+    parent_cold_multiple: float
+    parent_cold_time: int
+    list_on_request: bool
+    must_ask_in: int
+    cancel: bool
+    second_copies: bool
+    attempts: int
+    retry_after: bool
+    max_retry_after: int
+    step: int
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One line of the list of caches, parents and the origin."""
+
+    cache: int
+    kind: int
+    zone: int
+    cell: int
+    size: float
+    up_since: int
+    state: CacheState
+
+
+@dataclass(slots=True, frozen=True)
+class ListNews:
+    scope: ListScope
+    members: tuple[Member, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class RequestCame:
+    request: int
+    cls: int
+    size_kb: float
+    tenant: int
+    group: int
+    object: int
+    part: int
+    repeat: bool
+    time_left: int
+
+
+@dataclass(slots=True, frozen=True)
+class TimerDue:
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class StreamBegan:
+    request: int
+    attempt: int
+    cache: int
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnded:
+    request: int
+    attempt: int
+    cache: int
+    ending: Ending
+    elapsed: int
+    last: bool
+    note: Note
+    waited: int
+    report: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLeft:
+    request: int
+
+
+@dataclass(slots=True, frozen=True)
+class ProbeEnded:
+    cache: int
+    ending: Ending
+    elapsed: int
+    report: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class PeerSaid:
+    peer: int
+    text: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Purged:
+    """A purge made `ago` earlier; with object 0 it is of all the group."""
+
+    group: int
+    object: int
+    ago: int
+
+
+Event = (
+    ListNews
+    | RequestCame
+    | TimerDue
+    | StreamBegan
+    | AttemptEnded
+    | ClientLeft
+    | ProbeEnded
+    | PeerSaid
+    | Purged
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """An attempt that fills nothing: the origin's answer, or a fresh copy held at the cache."""
+
+    request: int
+    cache: int
+    timeout: int
+
+
+@dataclass(slots=True, frozen=True)
+class Fetch:
+    """An attempt that names a fill's source (the cache itself: none) and the oldest copy that will do."""
+
+    request: int
+    cache: int
+    timeout: int
+    source: int
+    rank: int
+    age: int
+    join: bool
+    renew: bool
+    held_only: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    request: int
+    retry_after: int
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    request: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    wait: int
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    cache: int
+
+
+@dataclass(slots=True, frozen=True)
+class Follow:
+    """Ask for the list's changes from now on."""
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    text: str
+
+
+Action = Ask | Fetch | Cancel | Refuse | Fail | SetTimer | Probe | Follow | Log
--- /dev/null
+++ b/quincepier/simwire.py
@@ -0,0 +1,320 @@
+"""Codec of the simulator's wire: frames to typed events, typed actions to frames. It decides nothing."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from quincepier.interface import (
+    Action,
+    Ask,
+    AttemptEnded,
+    CacheState,
+    Cancel,
+    ClientLeft,
+    Effect,
+    Ending,
+    Event,
+    Fail,
+    Fetch,
+    Follow,
+    Group,
+    ListNews,
+    ListScope,
+    Log,
+    Member,
+    Note,
+    PeerSaid,
+    Probe,
+    ProbeEnded,
+    Purged,
+    Refuse,
+    RequestCame,
+    RequestClass,
+    SetTimer,
+    Settings,
+    StreamBegan,
+    TimerDue,
+)
+
+HEADER = struct.Struct("<IQI")
+REPLY = struct.Struct("<III")
+RECORD = struct.Struct("<HI")
+U32 = struct.Struct("<I")
+ENTRY = struct.Struct("<HfIQBHB")
+START, VIEW, INCOMING, ESTABLISHED, OUTCOME = 1000, 1010, 1020, 1030, 1040
+CLIENT_GONE, BELL, CHECKED, INBOX, CRASH_NOW, INVALIDATED = 1050, 1060, 1070, 1080, 1090, 1100
+BROKEN = 1100
+# Fields of fixed size, and how many of their bytes must be there; what lacks at a record's end reads as 0.
+FIELDS: dict[int, tuple[struct.Struct, int]] = {
+    VIEW: (struct.Struct("<IBII"), 13),
+    INCOMING: (struct.Struct("<IIBfHfQfBQ"), 9),
+    ESTABLISHED: (struct.Struct("<IIHIQ"), 14),
+    OUTCOME: (struct.Struct("<IIHIBQBBQB"), 24),
+    CLIENT_GONE: (struct.Struct("<II"), 8),
+    BELL: (struct.Struct("<IQ"), 12),
+    CHECKED: (struct.Struct("<IQIBB"), 17),
+    INBOX: (struct.Struct("<IIH"), 10),
+    CRASH_NOW: (struct.Struct("<I"), 4),
+    INVALIDATED: (struct.Struct("<IHQQ"), 6),
+    START: (struct.Struct("<IQI"), 16),
+}
+ENDINGS = {
+    0: Ending.OK,
+    5: Ending.ERROR,
+    11: Ending.FULL,
+    110: Ending.TIMEOUT,
+    111: Ending.CONNECT_FAILED,
+    104: Ending.RESET,
+    125: Ending.CANCELLED,
+    114: Ending.MOOT,
+    2: Ending.MISS,
+}
+EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
+
+
+class WireError(Exception):
+    """A frame that is malformed; the text says how."""
+
+
+class SettingsError(Exception):
+    """Settings that lack a key or hold one that cannot be read; the text names the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Started:
+    seed: int
+    conf: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Crashed:
+    pass
+
+
+def decode_batch(frame: bytes) -> tuple[int, int, list[tuple[int, Event | Started | Crashed]]]:
+    """A whole frame as (clock, batch number, [(instance, event)])."""
+    if len(frame) < HEADER.size:
+        raise WireError("frame shorter than its header")
+    length, now, batch = HEADER.unpack_from(frame)
+    if length != len(frame):
+        raise WireError(f"frame of {len(frame)} bytes says it has {length}")
+    found = []
+    at = HEADER.size
+    while at < length:
+        if at + RECORD.size > length:
+            raise WireError(f"record header cut short at byte {at}")
+        code, size = RECORD.unpack_from(frame, at)
+        at += RECORD.size
+        if at + size > length:
+            raise WireError(f"record {code} at byte {at - RECORD.size} runs past the frame")
+        if code in FIELDS:
+            found.append(_event(code, frame[at : at + size]))
+        at += size
+    return now, batch, found
+
+
+def _tail(data: bytes, at: int, size: int, code: int) -> bytes:
+    if at + size > len(data):
+        raise WireError(f"record {code} lacks content that its count names")
+    return data[at : at + size]
+
+
+def _floats(data: bytes, at: int, count: int, code: int) -> tuple[float, ...]:
+    return struct.unpack(f"<{count}f", _tail(data, at, 4 * count, code))
+
+
+def _event(code: int, data: bytes) -> tuple[int, Event | Started | Crashed]:
+    layout, needed = FIELDS[code]
+    if len(data) < needed:
+        raise WireError(f"record {code} has {len(data)} bytes of fields, {needed} needed")
+    f = layout.unpack_from(data if len(data) >= layout.size else data.ljust(layout.size, b"\0"))
+    i = f[0]
+    event: Event | Started | Crashed
+    if code == INCOMING:
+        event = RequestCame(f[1], f[2], f[3], f[4], int(f[5]), f[6], int(f[7]), bool(f[8] & 2), f[9])
+    elif code == OUTCOME:
+        if f[4] not in ENDINGS:
+            raise WireError(f"record {code} has the unknown outcome {f[4]}")
+        note = Note(f[7]) if f[7] <= Note.ORIGIN_FAILED else Note.NONE
+        report = _floats(data, layout.size, f[9], code)
+        event = AttemptEnded(f[1], f[2], f[3], ENDINGS[f[4]], f[5], bool(f[6]), note, f[8], report)
+    elif code == BELL:
+        event = TimerDue(f[1])
+    elif code == VIEW:
+        if f[1] > 3:
+            raise WireError(f"record {code} has the unknown scope {f[1]}")
+        event = ListNews(ListScope(f[1]), tuple(_members(_tail(data, layout.size, ENTRY.size * f[3], code))))
+    elif code == CLIENT_GONE:
+        event = ClientLeft(f[1])
+    elif code == INVALIDATED:
+        event = Purged(f[1], f[2], f[3])
+    elif code == ESTABLISHED:
+        event = StreamBegan(f[1], f[2], f[3])
+    elif code == CHECKED:
+        if f[3] not in ENDINGS:
+            raise WireError(f"record {code} has the unknown outcome {f[3]}")
+        event = ProbeEnded(f[2], ENDINGS[f[3]], f[1], _floats(data, layout.size, f[4], code))
+    elif code == INBOX:
+        event = PeerSaid(f[1], _tail(data, layout.size, f[2], code))
+    elif code == START:
+        event = Started(f[1], _tail(data, layout.size, f[2], code))
+    else:
+        event = Crashed()
+    return i, event
+
+
+def _members(data: bytes) -> Iterator[Member]:
+    for cell, size, cache, up_since, kind, zone, state in ENTRY.iter_unpack(data):
+        if state > 2:
+            raise WireError(f"list entry has the unknown state {state}")
+        yield Member(cache, kind, zone, cell, size, up_since, CacheState(state))
+
+
+def _record(code: int, fields: bytes) -> bytes:
+    return RECORD.pack(code, len(fields)) + fields
+
+
+def encode_broken(instance: int, text: str) -> bytes:
+    raw = text.encode("utf-8", "replace")[:1000]
+    return _record(BROKEN, struct.pack("<IH", instance, len(raw)) + raw)
+
+
+def encode_action(i: int, action: Action) -> bytes:
+    match action:
+        case Ask(request, cache, timeout):
+            return _record(1060, struct.pack("<IIIQ", i, request, cache, timeout))
+        case Fetch():
+            a = action
+            opts = a.join + 2 * a.held_only + 8 * a.renew
+            head = struct.pack("<IIIQI", i, a.request, a.cache, a.timeout, a.source)
+            return _record(1090, head + struct.pack("<BQB", a.rank, a.age, opts))
+        case Cancel(request, attempt):
+            return _record(1000, struct.pack("<IIH", i, request, attempt))
+        case Refuse(request, retry_after):
+            return _record(1010, struct.pack("<IIQ", i, request, retry_after))
+        case Fail(request):
+            return _record(1050, struct.pack("<II", i, request))
+        case SetTimer(wait, token):
+            return _record(1040, struct.pack("<IQQ", i, wait, token))
+        case Probe(cache):
+            return _record(1070, struct.pack("<II", i, cache))
+        case Follow():
+            return _record(1020, struct.pack("<IB", i, 1))
+        case Log(text):
+            raw = text.encode("utf-8", "replace")[:200]
+            return _record(1080, struct.pack("<IH", i, len(raw)) + raw)
+
+
+def encode_reply(batch: int, records: list[bytes]) -> bytes:
+    body = b"".join(records)
+    return REPLY.pack(len(records), REPLY.size + len(body), batch) + body
+
+
+class _Conf:
+    def __init__(self, pairs: Mapping[str, str]) -> None:
+        self.pairs = pairs
+
+    def text(self, key: str, absent: str | None = None) -> str:
+        value = self.pairs.get(key, absent)
+        if value is None:
+            raise SettingsError(f"settings lack {key}")
+        return value
+
+    def number(self, key: str, absent: str | None = None) -> float:
+        text = self.text(key, absent)
+        try:
+            return float(text)
+        except ValueError:
+            raise SettingsError(f"settings hold {key}={text}, not a number") from None
+
+    def whole(self, key: str, absent: str | None = None) -> int:
+        return int(self.number(key, absent))
+
+    def flag(self, key: str, absent: str | None = None) -> bool:
+        return self.text(key, absent) == "true"
+
+    def items(self, key: str) -> list[str]:
+        text = self.pairs.get(key, "")
+        return text.split(",") if text else []
+
+    def numbers(self, key: str) -> list[float]:
+        try:
+            return [float(item) for item in self.items(key)]
+        except ValueError:
+            raise SettingsError(f"settings hold {key} with an item that is not a number") from None
+
+
+def _nth(values: list[float], n: int) -> int:
+    return int(values[n]) if n < len(values) else 0
+
+
+def _word(table: Mapping[str, Effect] | type[Group], key: str, text: str) -> Effect | Group:
+    try:
+        return table[text] if isinstance(table, Mapping) else table(text)
+    except (KeyError, ValueError):
+        raise SettingsError(f"settings hold {key}={text}, not a known word") from None
+
+
+def decode_settings(conf: bytes) -> Settings:
+    """The start settings as typed values; keys not known are passed over."""
+    lines = conf.decode("utf-8", "replace").splitlines()
+    c = _Conf(dict(line.split("=", 1) for line in lines if "=" in line))
+    info = "family_info."
+    fresh, grace = c.numbers(info + "class_fresh"), c.numbers(info + "usable_after")
+    never = c.items(info + "never_kept")
+    classes = []
+    for n in range(c.whole("services.count")):
+        at = f"services.{n}."
+        effect = _word(EFFECTS, at + "effect", c.text(at + "effect"))
+        group = _word(Group, at + "group", c.text(at + "group", "all"))
+        assert isinstance(effect, Effect) and isinstance(group, Group)
+        classes.append(
+            RequestClass(
+                effect=effect,
+                group=group,
+                window=c.whole(at + "window", "0"),
+                on_time=c.whole(at + "on_time"),
+                stretch=c.number(at + "aim_stretch", "0"),
+                deadline=c.whole(at + "hard_limit"),
+                worth=c.number(at + "worth"),
+                stream=c.flag(at + "stream", "false"),
+                fresh=_nth(fresh, n),
+                grace=_nth(grace, n),
+                never_kept=n < len(never) and never[n] == "true",
+            )
+        )
+    fronts = c.whole("replicas_of_me")
+    parties = range(c.whole("parties.count", "0"))
+    return Settings(
+        zone=c.whole("zone"),
+        fronts=fronts,
+        fronts_by_zone=tuple(int(n) for n in c.numbers(info + "seats_by_zone")),
+        classes=tuple(classes),
+        tenant_quotas=tuple(c.number(f"parties.{n}.quota_per_s", "0") for n in parties),
+        over_share_worth=c.number("over_share_worth", "1"),
+        parent_kind=c.whole(info + "second_tier_kind", "-1"),
+        origin_kind=c.whole(info + "root_kind", "-1"),
+        direct=c.flag(info + "pass_through_ok", "false"),
+        joins=c.flag(info + "collapses", "false"),
+        siblings=c.text(info + "peers_fill", "off") != "off",
+        client_kb_per_s=c.number(info + "client_kb_per_s", "0"),
+        sizes_compare=c.text("weights", "off") in ("nominal", "rough"),
+        purge_settles=c.whole(info + "purge_settles", "0"),
+        cold_from=c.number("rules.cold_from"),
+        cold_multiple=c.number("rules.fall_multiple"),
+        cold_window=c.whole("rules.tip_after"),
+        cold_time=c.whole("rules.warm_within"),
+        parent_cold_from=c.number(info + "upper_cold_from", "1"),
+        parent_cold_multiple=c.number(info + "upper_fall_multiple", "1"),
+        parent_cold_time=c.whole(info + "upper_cold", "0"),
+        list_on_request=c.text("registry_mode", "pushed") == "on_request",
+        must_ask_in=c.whole("rules.must_ask_in", "0"),
+        cancel=c.flag("limits.cancel", "false"),
+        second_copies=c.flag("limits.may_duplicate", "false"),
+        attempts=c.whole("limits.try_limit", "1"),
+        retry_after=c.flag("limits.retry_after", "false"),
+        max_retry_after=c.whole("limits.max_retry_after", "0"),
+        step=c.whole("step", "0"),
+    )
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,137 @@
+"""Settings and events for the tests of the decision module; small helpers, no timing."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from quincepier import interface as io
+from quincepier.interface import CacheState, Effect, Ending, Group, ListScope, Note
+from quincepier.policy import Router
+
+MS = 1_000_000
+SECOND = 1000 * MS
+EDGE, PARENT, ORIGIN = 0, 1, 2
+HUB, HOME = 0, 1
+CACHES = (101, 102, 103)
+PARENTS = (201, 202)
+ROOT = 301
+
+
+def make_class(**changes: Any) -> io.RequestClass:
+    base = io.RequestClass(
+        effect=Effect.SAFE,
+        group=Group.ALL,
+        window=5 * SECOND,
+        on_time=500 * MS,
+        stretch=2.0,
+        deadline=5 * SECOND,
+        worth=1.0,
+        stream=False,
+        fresh=0,
+        grace=0,
+        never_kept=False,
+    )
+    return replace(base, **changes)
+
+
+def make_settings(**changes: Any) -> io.Settings:
+    base = io.Settings(
+        zone=HOME,
+        fronts=2,
+        fronts_by_zone=(0, 2),
+        classes=(make_class(worth=2.0), make_class(on_time=250 * MS, fresh=12 * SECOND, grace=10 * SECOND)),
+        tenant_quotas=(),
+        over_share_worth=1.0,
+        parent_kind=PARENT,
+        origin_kind=ORIGIN,
+        direct=True,
+        joins=True,
+        siblings=False,
+        client_kb_per_s=4000.0,
+        sizes_compare=True,
+        purge_settles=6 * SECOND,
+        cold_from=0.2,
+        cold_multiple=2.5,
+        cold_window=1500 * MS,
+        cold_time=13 * SECOND,
+        parent_cold_from=0.1,
+        parent_cold_multiple=2.0,
+        parent_cold_time=20 * SECOND,
+        list_on_request=False,
+        must_ask_in=10 * SECOND,
+        cancel=True,
+        second_copies=True,
+        attempts=8,
+        retry_after=True,
+        max_retry_after=500 * MS,
+        step=2 * MS,
+    )
+    return replace(base, **changes)
+
+
+def member(
+    cache: int, kind: int = EDGE, up_since: int = 0, state: CacheState = CacheState.READY
+) -> io.Member:
+    zone = HOME if kind == EDGE else HUB
+    return io.Member(cache, kind, zone, cache, 30.0, up_since, state)
+
+
+def fleet() -> tuple[io.Member, ...]:
+    edges = tuple(member(c) for c in CACHES)
+    return edges + tuple(member(p, PARENT) for p in PARENTS) + (member(ROOT, ORIGIN),)
+
+
+class Bench:
+    """A router with a clock, which keeps what was said and what is out."""
+
+    def __init__(
+        self, settings: io.Settings | None = None, members: tuple[io.Member, ...] | None = None
+    ) -> None:
+        self.now = 100 * SECOND
+        self.settings = settings or make_settings()
+        self.router = Router(self.settings, 7, self.now)
+        self.log: list[tuple[int, io.Action]] = []
+        self.timers: list[tuple[int, int]] = []
+        self.sent: dict[int, int] = {}
+        self.give(io.ListNews(ListScope.REMEMBERED, fleet() if members is None else members))
+
+    def give(self, event: io.Event) -> list[io.Action]:
+        actions = self.router.handle(self.now, event)
+        for action in actions:
+            self.log.append((self.now, action))
+            if isinstance(action, io.SetTimer):
+                self.timers.append((self.now + action.wait, action.token))
+            elif isinstance(action, io.Ask | io.Fetch):
+                self.sent[action.request] = self.sent.get(action.request, 0) + 1
+        return actions
+
+    def wait(self, span: int) -> list[io.Action]:
+        """Let time pass; timers that come due are given in order."""
+        until, done = self.now + span, []
+        while self.timers and min(self.timers)[0] <= until:
+            due = min(self.timers)
+            self.timers.remove(due)
+            self.now = max(self.now, due[0])
+            done += self.give(io.TimerDue(due[1]))
+        self.now = until
+        return done
+
+    def ask(self, request: int, cls: int = 0, obj: int = 5, part: int = 0, **more: Any) -> list[io.Action]:
+        event = io.RequestCame(request, cls, 0.0, 0, 3, obj, part, False, self.settings.classes[cls].deadline)
+        return self.give(replace(event, **more))
+
+    def end(
+        self, sent: io.Ask | io.Fetch, ending: Ending, note: Note = Note.NONE, **more: Any
+    ) -> list[io.Action]:
+        no, last = self.sent[sent.request] - 1, ending is Ending.OK
+        event = io.AttemptEnded(sent.request, no, sent.cache, ending, 50 * MS, last, note, 0, ())
+        return self.give(replace(event, **more))
+
+
+def attempts(actions: list[io.Action]) -> list[io.Ask | io.Fetch]:
+    return [a for a in actions if isinstance(a, io.Ask | io.Fetch)]
+
+
+def finals(actions: list[io.Action]) -> list[io.Refuse | io.Fail]:
+    return [a for a in actions if isinstance(a, io.Refuse | io.Fail)]
--- /dev/null
+++ b/tests/test_policy_mechanism.py
@@ -0,0 +1,225 @@
+"""The design's mechanism: tiers, bound, release, gate, placement."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from quincepier import interface as io
+from quincepier.interface import Ending, ListScope, Note
+from tests.rig import (
+    CACHES,
+    MS,
+    PARENTS,
+    SECOND,
+    Bench,
+    attempts,
+    finals,
+    fleet,
+    make_class,
+    make_settings,
+    member,
+)
+
+THREE = tuple(make_class(worth=w, on_time=60 * SECOND, deadline=90 * SECOND) for w in (3.0, 2.0, 1.0))
+
+
+def crowd(bench: Bench, cls: int, first: int, count: int) -> list[io.Ask | io.Fetch]:
+    return [a for n in range(first, first + count) for a in attempts(bench.ask(n, cls=cls, obj=n))]
+
+
+def test_bound_holds_what_may_fill_and_known_hits_pass() -> None:
+    bench = Bench()
+    (seen,) = attempts(bench.ask(1, obj=7))
+    bench.end(seen, Ending.OK, Note.HIT)
+    assert len(crowd(bench, 0, 100, 30)) == 16
+    assert len(attempts(bench.ask(2, obj=7))) == 1
+    bench.now += 6 * SECOND
+    assert attempts(bench.ask(3, obj=7)) == []
+
+
+def test_bound_doubles_with_requests_held_and_halves_on_trouble() -> None:
+    bench = Bench()
+    out = crowd(bench, 0, 0, 40)
+    bench.now += 200 * MS
+    bench.end(out[0], Ending.OK, Note.FILLED)
+    assert bench.router.bound == 32
+    bench.now += 2 * SECOND
+    bench.end(out[1], Ending.FULL, Note.SOURCE_REFUSED)
+    assert bench.router.bound == 16
+
+
+def test_release_follows_the_weights_with_a_floor() -> None:
+    bench = Bench(make_settings(classes=THREE))
+    out = crowd(bench, 0, 0, 16)
+    for cls in range(2):
+        crowd(bench, cls, 1000 * (cls + 1), 200)
+    bench.router.released = [bench.now] * 3
+    left: Counter[int] = Counter()
+    for _ in range(95):
+        bench.router.bound = 16
+        for freed in attempts(bench.end(out.pop(0), Ending.OK, Note.FILLED)):
+            left[freed.request // 1000] += 1
+            out.append(freed)
+    assert left[1] == 80 and left[2] == 15
+
+
+def test_empty_tier_lends_its_share() -> None:
+    bench = Bench(make_settings(classes=THREE))
+    out = crowd(bench, 0, 0, 16)
+    crowd(bench, 1, 1000, 20)
+    freed = [a for sent in out for a in attempts(bench.end(sent, Ending.OK, Note.FILLED))]
+    assert len(freed) >= 16 and all(a.request >= 1000 for a in freed)
+
+
+def test_past_the_gate_the_lowest_tier_is_shed() -> None:
+    bench = Bench(make_settings(classes=THREE))
+    crowd(bench, 0, 0, 13)
+    (early,) = attempts(bench.ask(500, cls=2, obj=500))
+    assert isinstance(early, io.Fetch) and early.source != early.cache
+    (looked,) = attempts(bench.ask(501, cls=2, obj=501))
+    assert isinstance(looked, io.Fetch) and looked.source == looked.cache
+    done = bench.end(looked, Ending.MISS)
+    assert finals(done) == [io.Refuse(501, 500 * MS)] and attempts(done) == []
+
+
+def test_shed_request_takes_a_stale_copy_within_grace() -> None:
+    bench = Bench()
+    crowd(bench, 0, 0, 16)
+    (looked,) = attempts(bench.ask(501, cls=1, obj=501))
+    assert isinstance(looked, io.Fetch) and looked.age == 22 * SECOND and looked.source == looked.cache
+
+
+def test_placement_is_stable_as_the_list_changes() -> None:
+    bench = Bench()
+
+    def homes() -> dict[int, int]:
+        found = {}
+        for n in range(120):
+            (sent,) = attempts(bench.ask(len(bench.sent), obj=n))
+            bench.end(sent, Ending.OK, Note.HIT)
+            found[n] = sent.cache
+        return found
+
+    before = homes()
+    assert set(before.values()) == set(CACHES)
+    bench.give(io.ListNews(ListScope.FULL, fleet()[1:]))
+    after = homes()
+    assert all(after[n] == home for n, home in before.items() if home != CACHES[0])
+
+
+def test_parts_spread_over_caches_and_share_a_parent() -> None:
+    bench = Bench()
+    caches, parents = set(), set()
+    for part in range(30):
+        (sent,) = attempts(bench.ask(part, part=part))
+        assert isinstance(sent, io.Fetch)
+        caches.add(sent.cache)
+        parents.add(sent.source)
+        bench.end(sent, Ending.OK, Note.HIT)
+    assert caches == set(CACHES) and len(parents) == 1
+
+
+def test_next_parent_stands_in_for_one_that_is_down() -> None:
+    bench = Bench()
+    (sent,) = attempts(bench.ask(1))
+    assert isinstance(sent, io.Fetch)
+    (again,) = attempts(bench.end(sent, Ending.FULL, Note.SOURCE_BROKEN))
+    assert isinstance(again, io.Fetch) and {sent.source, again.source} == set(PARENTS)
+
+
+def test_hot_object_is_widened_to_two_caches() -> None:
+    bench = Bench()
+    homes = set()
+    for n in range(80):
+        (sent,) = attempts(bench.ask(n))
+        homes.add(sent.cache)
+        if n % 2:
+            bench.end(sent, Ending.OK, Note.HIT)
+        else:
+            bench.end(sent, Ending.OK, Note.HIT, elapsed=40 * MS)
+    assert len(homes) == 1  # with nothing in flight the home is as good as its second
+    more = [a for n in range(100, 104) for a in attempts(bench.ask(n))]
+    assert len({a.cache for a in more}) == 2
+
+
+def test_lost_cache_gives_its_slots_back_and_returns_by_a_trial() -> None:
+    bench = Bench()
+    out = crowd(bench, 0, 0, 16)
+    lost = out[0].cache
+    bench.end(out[0], Ending.CONNECT_FAILED)
+    assert bench.router.nodes[lost].suspect
+    assert bench.router.fills < 16
+    bench.wait(900 * MS)
+    assert all(a.cache != lost for a in crowd(bench, 0, 100, 20))
+    for sent in out[1:]:
+        bench.end(sent, Ending.OK, Note.FILLED)
+    bench.wait(400 * MS)
+    bench.router.bound = 64
+    tried = [a for a in crowd(bench, 0, 200, 12) if a.cache == lost]
+    assert len(tried) == 1
+    bench.end(tried[0], Ending.OK, Note.FILLED)
+    assert not bench.router.nodes[lost].suspect
+
+
+def test_whole_zone_lost_goes_straight_to_a_parent() -> None:
+    bench = Bench(members=fleet()[3:])
+    (sent,) = attempts(bench.ask(1))
+    assert isinstance(sent, io.Fetch) and sent.cache in PARENTS
+
+
+def test_site_without_parents_fills_from_the_origin() -> None:
+    bench = Bench(make_settings(parent_kind=-1), tuple(m for m in fleet() if m.kind != 1))
+    (sent,) = attempts(bench.ask(1))
+    assert isinstance(sent, io.Fetch) and sent.source == 301
+
+
+def test_no_machine_at_all_is_refused_at_once() -> None:
+    bench = Bench(members=())
+    assert finals(bench.ask(1)) == [io.Refuse(1, 500 * MS)]
+
+
+def test_tenant_past_its_share_is_of_the_lowest_tier() -> None:
+    bench = Bench(make_settings(tenant_quotas=(4.0,), over_share_worth=0.1))
+    tiers = []
+    for n in range(4):
+        bench.ask(n, obj=n)
+        tiers.append(bench.router.requests[n].tier)
+    assert tiers == [0, 0, 2, 2]
+
+
+def test_list_on_request_is_followed_and_asked_again_after_a_failure() -> None:
+    bench = Bench(make_settings(list_on_request=True))
+    assert [a for _, a in bench.log if isinstance(a, io.Follow)] == [io.Follow()]
+    bench.give(io.ListNews(ListScope.FAILED, ()))
+    assert io.Follow() in bench.wait(2 * SECOND)
+
+
+def test_begun_stream_has_no_deadline() -> None:
+    bench = Bench(make_settings(classes=(make_class(stream=True),)))
+    attempts(bench.ask(1))
+    bench.give(io.StreamBegan(1, 0, CACHES[0]))
+    assert finals(bench.wait(30 * SECOND)) == []
+
+
+def test_same_events_give_the_same_actions() -> None:
+    def play() -> list[tuple[int, io.Action]]:
+        bench = Bench()
+        out = crowd(bench, 0, 0, 40)
+        bench.end(out[3], Ending.RESET)
+        bench.wait(3 * SECOND)
+        return bench.log
+
+    assert play() == play()
+
+
+def test_cold_newcomer_takes_part_of_its_keys() -> None:
+    bench = Bench()
+    newcomer = replace(member(104), up_since=bench.now)
+    bench.give(io.ListNews(ListScope.CHANGES, (newcomer,)))
+    taken = 0
+    for n in range(300):
+        for sent in attempts(bench.ask(n, obj=n)):
+            taken += sent.cache == 104
+            bench.end(sent, Ending.OK, Note.HIT)
+    assert 0 < taken < 60
--- /dev/null
+++ b/tests/test_policy_rules.py
@@ -0,0 +1,204 @@
+"""The five rules, each kept by one front alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from quincepier import interface as io
+from quincepier.interface import CacheState, Effect, Ending, Group, ListScope, Note
+from tests.rig import (
+    CACHES,
+    MS,
+    PARENTS,
+    ROOT,
+    SECOND,
+    Bench,
+    attempts,
+    finals,
+    fleet,
+    make_class,
+    make_settings,
+    member,
+)
+
+UNSAFE = make_class(effect=Effect.UNSAFE, never_kept=True)
+
+
+def test_deadline_gives_one_final_answer_and_silence_after() -> None:
+    bench = Bench()
+    (sent,) = attempts(bench.ask(1))
+    ends = finals(bench.wait(6 * SECOND))
+    assert ends == [io.Fail(1)]
+    after = bench.end(sent, Ending.TIMEOUT, last=True)
+    assert attempts(after) == [] and finals(after) == []
+
+
+def test_served_request_gets_no_answer_of_ours() -> None:
+    bench = Bench()
+    (sent,) = attempts(bench.ask(1))
+    assert finals(bench.end(sent, Ending.OK, Note.HIT)) == []
+    assert finals(bench.wait(10 * SECOND)) == []
+
+
+def test_client_that_leaves_is_owed_nothing() -> None:
+    bench = Bench()
+    (sent,) = attempts(bench.ask(1))
+    assert bench.give(io.ClientLeft(1)) == [io.Cancel(1, 0)]
+    assert attempts(bench.end(sent, Ending.CANCELLED, last=True)) == []
+    assert finals(bench.wait(10 * SECOND)) == []
+
+
+@pytest.mark.parametrize("ending", [Ending.ERROR, Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED])
+def test_unsafe_work_that_may_have_run_fails(ending: Ending) -> None:
+    bench = Bench(make_settings(classes=(UNSAFE,)))
+    (sent,) = attempts(bench.ask(1))
+    assert sent.cache == ROOT
+    done = bench.end(sent, ending)
+    assert finals(done) == [io.Fail(1)] and attempts(done) == []
+
+
+@pytest.mark.parametrize("ending", [Ending.FULL, Ending.CONNECT_FAILED, Ending.MISS])
+def test_unsafe_work_that_never_ran_is_sent_again(ending: Ending) -> None:
+    bench = Bench(make_settings(classes=(UNSAFE,)))
+    (sent,) = attempts(bench.ask(1))
+    done = bench.end(sent, ending)
+    assert len(attempts(done)) == 1 and finals(done) == []
+
+
+@pytest.mark.parametrize("group", [Group.ZONE, Group.CELL])
+def test_keyed_work_stays_in_its_group(group: Group) -> None:
+    keyed = make_class(effect=Effect.KEYED, group=group)
+    bench = Bench(make_settings(classes=(keyed,)))
+    (sent,) = attempts(bench.ask(1))
+    done = bench.end(sent, Ending.ERROR)
+    if group is Group.ZONE:
+        assert len(attempts(done)) == 1
+    else:  # every cache of the rig is a cell of its own
+        assert attempts(done) == [] and finals(done) == [io.Fail(1)]
+
+
+def test_keyed_work_is_not_sent_again_past_its_window() -> None:
+    keyed = make_class(effect=Effect.KEYED, window=SECOND, deadline=9 * SECOND)
+    bench = Bench(make_settings(classes=(keyed,)))
+    (sent,) = attempts(bench.ask(1))
+    bench.now += SECOND
+    done = bench.end(sent, Ending.ERROR)
+    assert attempts(done) == [] and finals(done) == [io.Refuse(1, 500 * MS)]
+
+
+def test_drained_cache_gets_nothing_as_target_or_source() -> None:
+    bench = Bench()
+    gone = (member(CACHES[0], state=CacheState.DRAINING), member(PARENTS[0], 1, state=CacheState.DRAINING))
+    bench.give(io.ListNews(ListScope.CHANGES, gone))
+    for n in range(60):
+        for sent in attempts(bench.ask(n, obj=n)):
+            assert isinstance(sent, io.Fetch)
+            assert sent.cache != CACHES[0] and sent.source != PARENTS[0]
+            bench.end(sent, Ending.OK, Note.HIT)
+
+
+def test_held_request_finds_its_cache_anew_after_a_drain() -> None:
+    bench = Bench()
+    out = [a for n in range(16) for a in attempts(bench.ask(n, obj=n))]
+    assert len(out) == 16
+    assert attempts(bench.ask(99, obj=99)) == []
+    for cache in CACHES[:2]:
+        bench.give(io.ListNews(ListScope.CHANGES, (member(cache, state=CacheState.DRAINING),)))
+    released = attempts(bench.end(out[0], Ending.OK, Note.FILLED))
+    assert [(a.request, a.cache) for a in released] == [(99, CACHES[2])]
+
+
+@pytest.mark.parametrize("fronts", [1, 2, 5])
+def test_cold_cache_budget_holds_over_any_window(fronts: int) -> None:
+    settings = make_settings(fronts=fronts, fronts_by_zone=(0, fronts))
+    start = 100 * SECOND
+    members = (member(CACHES[0], up_since=start), *fleet()[3:])
+    bench = Bench(settings, members)
+    sends: list[int] = []
+    n = 0
+    while bench.now < start + 4 * SECOND:
+        n += 1
+        for sent in attempts(bench.ask(n, obj=n)):
+            if sent.cache == CACHES[0]:
+                sends.append(bench.now)
+            bench.end(sent, Ending.FULL)  # refused work counts too
+        bench.wait(20 * MS)
+    assert sends
+    work, size = 0.5, 30.0  # seconds of a request as first guessed, transfers that the cache can carry
+    for at in sends:
+        in_window = [s for s in sends if at <= s < at + settings.cold_window]
+        share = settings.cold_from + (1 - settings.cold_from) * (at - start) / settings.cold_time
+        assert len(in_window) * work * fronts <= settings.cold_multiple * share * size * 1.5
+
+
+def test_restart_shows_as_fresh_start_and_is_cold() -> None:
+    bench = Bench()
+    bench.give(io.ListNews(ListScope.CHANGES, (member(PARENTS[0], 1, up_since=bench.now),)))
+    node = bench.router.nodes[PARENTS[0]]
+    assert bench.router.room(node, 0.1 * SECOND)
+    assert not bench.router.room(node, 100.0 * SECOND)
+
+
+@pytest.mark.parametrize(("group", "obj"), [(3, 5), (3, 0)])
+def test_purge_limits_age_until_it_has_settled(group: int, obj: int) -> None:
+    bench = Bench()
+    bench.give(io.Purged(group, obj, 300 * MS))
+    (first,) = attempts(bench.ask(1))
+    assert isinstance(first, io.Fetch) and first.age == 300 * MS
+    bench.now += SECOND
+    (second,) = attempts(bench.ask(2))
+    assert isinstance(second, io.Fetch) and second.age == 1300 * MS
+    bench.now += 20 * SECOND
+    (third,) = attempts(bench.ask(3))
+    assert isinstance(third, io.Fetch) and third.age == 0
+
+
+def test_purge_told_at_once_limits_to_the_least_age() -> None:
+    bench = Bench()
+    bench.give(io.Purged(3, 5, 0))
+    (sent,) = attempts(bench.ask(1))
+    assert isinstance(sent, io.Fetch) and sent.age == 1
+
+
+def test_purge_told_while_held_counts_at_release() -> None:
+    bench = Bench()
+    out = [a for n in range(16) for a in attempts(bench.ask(n, obj=100 + n))]
+    bench.ask(99, obj=5)
+    bench.give(io.Purged(3, 5, 200 * MS))
+    (late,) = attempts(bench.end(out[0], Ending.OK, Note.FILLED))
+    assert isinstance(late, io.Fetch) and late.request == 99 and late.age == 200 * MS
+
+
+def test_one_attempt_at_a_time_where_copies_are_barred() -> None:
+    bench = Bench(make_settings(second_copies=False))
+    open_now = 0
+    (sent,) = attempts(bench.ask(1))
+    for _ in range(6):
+        open_now += 1
+        assert open_now == 1
+        done = bench.end(sent, Ending.RESET)
+        open_now -= 1
+        if finals(done):
+            break
+        (sent,) = attempts(done)
+    else:
+        pytest.fail("the request never got its final answer")
+
+
+def test_replaced_full_list_drops_what_it_lacks() -> None:
+    bench = Bench()
+    bench.give(io.ListNews(ListScope.FULL, fleet()[1:]))
+    for n in range(30):
+        for sent in attempts(bench.ask(n, obj=n)):
+            assert sent.cache != CACHES[0]
+            bench.end(sent, Ending.OK, Note.HIT)
+
+
+def test_members_keep_their_start_time_across_lists() -> None:
+    bench = Bench()
+    line = replace(member(CACHES[0]), up_since=bench.now)
+    bench.give(io.ListNews(ListScope.CHANGES, (line,)))
+    bench.give(io.ListNews(ListScope.CHANGES, (line,)))
+    assert bench.router.nodes[CACHES[0]].cold_at == line.up_since
