Hold requests for a cache that has in flight all that it can send in time

The mean sending time is now learnt on uncrowded caches only, and the fill bound doubles after a bound's worth of normal fills.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import OrderedDict, deque
+from itertools import islice
 
 from quincepier import interface as io
 from quincepier.interface import CacheState, Effect, Ending, Group, ListScope, Note
@@ -22,9 +23,11 @@
 FLOOR_EVERY = SECOND  # each tier with held requests releases at least one this often (design's floor)
 BOUND_START = 16  # fills in flight at the start (design)
 BOUND_LEAST, BOUND_MOST = 8, 256  # a halved bound still lets each tier go on; a doubled one stays finite
-BOUND_UP_EVERY, BOUND_DOWN_EVERY = 100 * MS, SECOND  # one step a cause, not one an answer
+BOUND_DOWN_EVERY = SECOND  # one step down a cause, not one an answer; one up takes a bound's worth of fills
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
+CROWD = 2.0  # transfers in flight at a cache over those it sends at full pace: past this many come late
+HOLD_SCAN = 32  # held objects looked through for one whose cache has room
 HOLD_MOST = 2000  # held requests of a tier; one more is answered as past the gate (the paper's depth)
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
 WATCH_EVERY = 100 * MS  # how often silence is looked for while attempts are out
@@ -101,7 +104,7 @@
         self.depth = [0] * len(TIER_WEIGHTS)
         self.credit = [0.0] * len(TIER_WEIGHTS)
         self.released = [now] * len(TIER_WEIGHTS)
-        self.bound, self.fills, self.up_at, self.down_at = BOUND_START, 0, now, now
+        self.bound, self.fills, self.good, self.down_at = BOUND_START, 0, 0, now
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.extra, self.logs = EXTRA_MOST, 0
@@ -240,18 +243,16 @@
             return True
         if kind == s.parent_kind:
             least, multiple, warm = s.parent_cold_from, s.parent_cold_multiple, s.parent_cold_time
-            fronts = s.fronts
         else:
             least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
-            zone = node.member.zone
-            fronts = s.fronts_by_zone[zone] if zone < len(s.fronts_by_zone) else s.fronts
         while node.spent and node.spent[0][0] < self.now - s.cold_window:
             node.spent.popleft()
         age = self.now - node.cold_at - s.cold_window  # a window has what it began with
         if node.cold_at == 0 or age >= warm:
             return True
         share = least + (1 - least) * max(age, 0) / max(warm, 1)
-        budget = multiple * share * max(node.member.size, 0.01) * s.cold_window * COLD_SAFETY / max(fronts, 1)
+        mine = max(node.member.size, 0.01) * COLD_SAFETY / self.sharers(node)
+        budget = multiple * share * mine * s.cold_window
         return sum(w for _, w in node.spent) + work <= budget
 
     def place(self, req: Request, work: float) -> Node | None:
@@ -281,22 +282,40 @@
             self.pass_on(req, work)
             return
         node = self.place(req, work)
-        if node is not None and self.known(node, req):
+        if node is not None and self.crowded(node, work):
+            self.hold(req)
+        elif node is not None and self.known(node, req):
             self.send(req, node, self.source(req, work) or node, work, fill=False)
         elif req.tier == len(TIER_WEIGHTS) - 1 and self.fills >= GATE * self.bound:
             self.shed(req)
         elif self.fills < self.bound and not any(self.depth):
             self.fill(req)
-        elif self.depth[req.tier] >= HOLD_MOST:
-            self.shed(req)
         else:
-            self.held[req.tier].setdefault(req.key, deque()).append(req)
-            self.depth[req.tier] += 1
-            req.held = True
-            self.timer_in(cls.on_time, HOLD, e.request)
-            if not self.ticking:
-                self.ticking = True
-                self.timer_in(RELEASE_EVERY, TICK)
+            self.hold(req)
+
+    def crowded(self, node: Node, work: float) -> bool:
+        """Whether a cache has as much of ours in flight as it can send in time (our part of its link)."""
+        if not self.s.sizes_compare or node.member.kind in (self.s.parent_kind, self.s.origin_kind):
+            return False
+        return len(node.out) + 1 > max(CROWD * node.member.size / self.sharers(node), 2)
+
+    def sharers(self, node: Node) -> int:
+        zones, zone = self.s.fronts_by_zone, node.member.zone
+        if node.member.kind == self.s.parent_kind or zone >= len(zones):
+            return max(self.s.fronts, 1)
+        return max(zones[zone], 1)
+
+    def hold(self, req: Request) -> None:
+        if self.depth[req.tier] >= HOLD_MOST:
+            self.shed(req)
+            return
+        self.held[req.tier].setdefault(req.key, deque()).append(req)
+        self.depth[req.tier] += 1
+        req.held = True
+        self.timer_in(req.cls.on_time, HOLD, req.e.request)
+        if not self.ticking:
+            self.ticking = True
+            self.timer_in(RELEASE_EVERY, TICK)
 
     def fill(self, req: Request) -> None:
         """An attempt that may fill; cache, source and age are found anew, however long it was held."""
@@ -331,7 +350,7 @@
         """Past the gate: what the cache holds, stale within grace too, else a refusal."""
         work = self.work_of(req.e)
         node = self.place(req, work)
-        if node is None or req.sent:
+        if node is None or req.sent or self.crowded(node, work):
             self.give_up(req)
         else:
             self.send(req, node, node, work, fill=False, look=True)
@@ -471,17 +490,20 @@
             self.hits[key] = now
             if len(self.hits) > MEMORY_MOST:
                 self.hits.popitem(last=False)
-            self.work[attempt.req.e.cls] += WORK_GUESS * (e.elapsed - self.work[attempt.req.e.cls])
+            if not self.crowded(node, 0) and 2 * len(node.out) * self.sharers(node) <= node.member.size:
+                # a crowded cache sends slowly: that says nothing of sizes
+                self.work[attempt.req.e.cls] += WORK_GUESS * (e.elapsed - self.work[attempt.req.e.cls])
         if attempt.fill:
             self.fills -= 1
-            own = self.work_of(attempt.req.e)
-            delay = e.waited or e.elapsed - own
+            delay = e.waited or e.elapsed - self.work_of(attempt.req.e)
             if e.ending in (Ending.FULL, Ending.TIMEOUT) or (e.ending is Ending.OK and delay > cls.on_time):
+                self.good = 0
                 if now - self.down_at >= BOUND_DOWN_EVERY:
                     self.bound, self.down_at = max(self.bound // 2, BOUND_LEAST), now
-                    self.log(f"fill bound down to {self.bound}: {e.ending.value}, {delay // MS:.0f} ms")
-            elif e.ending is Ending.OK and any(self.depth) and now - self.up_at >= BOUND_UP_EVERY:
-                self.bound, self.up_at = min(self.bound * 2, BOUND_MOST), now
+            elif e.ending is Ending.OK:
+                self.good += 1
+                if any(self.depth) and self.good >= self.bound:
+                    self.bound, self.good = min(self.bound * 2, BOUND_MOST), 0
 
     # Health
 
@@ -562,20 +584,35 @@
 
     def release(self) -> None:
         """Held requests leave by weighted shares; an empty tier lends its share, each keeps a floor."""
-        while self.fills < self.bound and any(self.depth):
-            waiting = [t for t, depth in enumerate(self.depth) if depth]
-            heads = {t: max(self.held[t].values(), key=lambda q: len(q) // BOOST_EVERY) for t in waiting}
-            shares = {t: TIER_WEIGHTS[t] + len(heads[t]) // BOOST_EVERY for t in waiting}
-            for t in waiting:
+        while any(self.depth):
+            heads = {t: q for t, queues in enumerate(self.held) if (q := self.head(queues))}
+            if not heads:
+                return
+            shares = {t: TIER_WEIGHTS[t] + len(q) // BOOST_EVERY for t, q in heads.items()}
+            for t in heads:
                 self.credit[t] += shares[t]
-            starved = [t for t in waiting if self.now - self.released[t] >= FLOOR_EVERY]
-            tier = starved[0] if starved else max(waiting, key=lambda t: self.credit[t])
+            starved = [t for t in heads if self.now - self.released[t] >= FLOOR_EVERY]
+            tier = starved[0] if starved else max(heads, key=lambda t: self.credit[t])
             self.credit[tier] -= sum(shares.values())
             self.released[tier] = self.now
             req = heads[tier][0]
             self.unhold(req)
             self.fill(req)
 
+    def head(self, queues: OrderedDict[int, deque[Request]]) -> deque[Request] | None:
+        """The held object most waited for of those that may leave now, else the first of them."""
+        best = None
+        for queue in islice(queues.values(), HOLD_SCAN):
+            work = self.work_of(queue[0].e)
+            node = self.place(queue[0], work)
+            if node is not None and self.crowded(node, work):
+                continue
+            if self.fills >= self.bound and (node is None or not self.known(node, queue[0])):
+                continue
+            if best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY:
+                best = queue
+        return best
+
     def log(self, text: str) -> None:
         self.logs += 1
         if self.logs <= LOGS_MOST:
