Answer requests with no time left at once; tell own standstill and single resets apart

They now get their final answer at once, nothing leaves past a deadline, and a round of the silence watch after a standstill blames no machine. Told from a lost zone by the gaps in the front's own batches: all its events came late together.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -32,6 +32,7 @@
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
 WATCH_EVERY = 100 * MS  # how often silence is looked for while attempts are out
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
+LOST_LEAST = 2  # attempts broken off in a row that make a loss: one may be a fault of the machine's
 SILENT_LEAST = 2  # overdue attempts that make a silence: one alone may be a large object
 COLD_SAFETY = 0.5  # part of a cold budget that is used: sizes are rough, and answers show work late
 MORE_ATTEMPTS = 3  # further attempts for a request
@@ -63,7 +64,7 @@
         self.suspect = False
         self.trial_at = self.wait = 0
         self.trial: tuple[int, int] | None = None  # the one attempt that tries a suspect
-        self.down = False  # the suspicion came from failed connections: back means restarted
+        self.failed = 0  # attempts broken off since it was last heard
         self.spent: deque[list[float]] = deque()  # [when, work sent], for the cold budget
         self.out: dict[tuple[int, int], Attempt] = {}
         self.asked: deque[tuple[int, int]] = deque()  # recent requests (when, object) and their counts
@@ -80,7 +81,7 @@
 class Request:
     def __init__(self, e: io.RequestCame, cls: io.RequestClass, tier: int, now: int) -> None:
         self.e, self.cls, self.tier, self.came = e, cls, tier, now
-        self.deadline = now + (e.time_left or cls.deadline)
+        self.deadline = now + e.time_left
         self.open: dict[int, Attempt] = {}
         self.sent = 0
         self.held = self.begun = False
@@ -109,6 +110,7 @@
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.extra, self.logs = EXTRA_MOST, 0
         self.ticking = self.watching = False
+        self.watched = now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
 
@@ -179,7 +181,10 @@
         req = Request(e, self.s.classes[e.cls], tier, self.now)
         self.requests[e.request] = req
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
-        self.timer_in(max(req.deadline - self.now - self.s.step, 0), DEADLINE, e.request)
+        if e.time_left <= self.s.step:  # it waited for this front, which stood still: no time is left to try
+            self.give_up(req)
+            return
+        self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
         self.route(req)
 
     def close(self, req: Request) -> None:
@@ -370,7 +375,7 @@
     ) -> None:
         e, now = req.e, self.now
         patience = max(req.deadline - now, 1)
-        if req.sent >= self.s.attempts or not self.harmless(req, node):
+        if req.sent >= self.s.attempts or not self.harmless(req, node) or req.deadline - now <= self.s.step:
             self.give_up(req)
             return
         attempt = Attempt(req, req.sent, now, node, source if source is not node else None)
@@ -396,7 +401,7 @@
             age, to, by = self.oldest(req, look), node.member.cache, source.member.cache
             self.out.append(io.Fetch(e.request, to, patience, by, 1, age, join, renew, False))
         if not self.watching:
-            self.watching = True
+            self.watching, self.watched = True, self.now
             self.timer_in(WATCH_EVERY, WATCH)
 
     def harmless(self, req: Request, node: Node) -> bool:
@@ -474,12 +479,14 @@
         node, source, cls, now = attempt.node, attempt.source, attempt.req.cls, self.now
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
         if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
-            self.distrust(node, True)
+            node.failed += 1
+            if e.ending is Ending.CONNECT_FAILED or node.failed >= LOST_LEAST:
+                self.distrust(node, "lost")
         elif e.ending in (Ending.OK, Ending.ERROR, Ending.FULL, Ending.MISS):
             self.trust(node)
         if source is not None:
             if e.note is Note.SOURCE_BROKEN:
-                self.distrust(source, False)
+                self.distrust(source, "broken as a source")
             elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
                 self.trust(source)
             if from_cache and attempt.charge is not None:
@@ -510,18 +517,18 @@
     def trust(self, node: Node) -> None:
         node.heard = self.now
         if node.suspect:
-            if node.down or node.wait > SUSPECT_FOR:  # it was away: back means started anew, told or not
+            if node.wait > SUSPECT_FOR:  # a trial failed: it was away and starts anew, told or not
                 node.cold_at = self.now
-            node.suspect, node.wait, node.down = False, 0, False
+            node.suspect, node.wait = False, 0
             self.log(f"machine {node.member.cache} answers again")
+        node.failed = 0
 
-    def distrust(self, node: Node, down: bool) -> None:
+    def distrust(self, node: Node, why: str) -> None:
         """Set a machine aside; one real request tries it after a wait, so that it comes back by itself."""
-        node.down |= down
         if node.suspect and self.now < node.trial_at:
             return
         if not node.suspect:
-            self.log(f"machine {node.member.cache} set aside: {'lost' if down else 'silent'}")
+            self.log(f"machine {node.member.cache} set aside: {why}")
         node.wait = min(max(2 * node.wait, SUSPECT_FOR), SUSPECT_MOST)
         node.suspect, node.trial_at = True, self.now + node.wait
         self.rescue(node)
@@ -535,6 +542,9 @@
                 self.cancel(attempt)
 
     def watch(self) -> None:
+        stood_still, self.watched = self.now - self.watched > 3 * WATCH_EVERY, self.now
+        if stood_still:  # this front did: the answers that it missed are still to come
+            return
         for node in list(self.nodes.values()):
             late = 0
             for a in node.out.values():
@@ -544,7 +554,7 @@
                 # a source is silent only if the cache that asks it is not
                 late += a.node is node or (a.fill and a.node.heard > a.at)
             if late >= SILENT_LEAST:
-                self.distrust(node, False)
+                self.distrust(node, "silent")
 
     # Timers, held requests, logs
 
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -202,3 +202,41 @@
     bench.give(io.ListNews(ListScope.CHANGES, (line,)))
     bench.give(io.ListNews(ListScope.CHANGES, (line,)))
     assert bench.router.nodes[CACHES[0]].cold_at == line.up_since
+
+
+def test_request_that_waited_out_its_time_is_answered_at_once() -> None:
+    """A front that stood still finds requests with no time left; they still want one final answer."""
+    bench = Bench()
+    done = bench.ask(1, time_left=0)
+    assert len(finals(done)) == 1 and attempts(done) == []
+
+
+def test_no_attempt_leaves_when_the_deadline_has_come() -> None:
+    """After a standstill an outcome may free a slot before the deadline's timer is handed over."""
+    bench = Bench()
+    out = [a for n in range(16) for a in attempts(bench.ask(n, obj=100 + n))]
+    bench.ask(99, obj=99)
+    bench.now += 5 * SECOND
+    done = bench.end(out[0], Ending.OK, Note.FILLED)
+    assert attempts(done) == [] and len(finals(done)) == 1
+
+
+def test_standstill_of_this_front_is_no_silence_of_the_caches() -> None:
+    bench = Bench()
+    for n in range(12):
+        bench.ask(n, obj=n)
+    due = min(t for t in bench.timers if t[1] & 7 == 3)
+    bench.now += 3 * SECOND
+    bench.give(io.TimerDue(due[1]))
+    assert not any(node.suspect for node in bench.router.nodes.values())
+
+
+def test_one_broken_answer_among_good_ones_sets_no_cache_aside() -> None:
+    bench = Bench()
+    for n in range(20):
+        (sent,) = attempts(bench.ask(n))
+        if n % 3:
+            bench.end(sent, Ending.OK, Note.HIT)
+        else:
+            bench.end(sent, Ending.RESET, last=True)
+    assert not any(node.suspect for node in bench.router.nodes.values())
