Hold requests by the slowing their own class stands, not by one figure for all

Cause: on a full cache link one limit for all classes refused small requests that would have been on time beside the large ones.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -26,7 +26,7 @@
 BOUND_DOWN_EVERY = SECOND  # one step down a cause, not one an answer; one up takes a bound's worth of fills
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
-CROWD = 2.0  # transfers in flight at a cache over those it sends at full pace: past this many come late
+CROWD = 0.75  # part of the slowing a class stands that a full cache link may use before its requests are held
 HOLD_SCAN = 32  # held objects looked through for one whose cache has room
 HOLD_MOST = 2000  # held requests of a tier; one more is answered as past the gate (the paper's depth)
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
@@ -287,7 +287,7 @@
             self.pass_on(req, work)
             return
         node = self.place(req, work)
-        if node is not None and self.crowded(node, work):
+        if node is not None and self.crowded(node, req, work):
             self.hold(req)
         elif node is not None and self.known(node, req):
             self.send(req, node, self.source(req, work) or node, work, fill=False)
@@ -298,11 +298,12 @@
         else:
             self.hold(req)
 
-    def crowded(self, node: Node, work: float) -> bool:
-        """Whether a cache has as much of ours in flight as it can send in time (our part of its link)."""
+    def crowded(self, node: Node, req: Request, work: float) -> bool:
+        """Whether so much of ours is in flight at a cache that one more of this class would come late."""
         if not self.s.sizes_compare or node.member.kind in (self.s.parent_kind, self.s.origin_kind):
             return False
-        return len(node.out) + 1 > max(CROWD * node.member.size / self.sharers(node), 2)
+        stands = CROWD * (req.cls.on_time / work + req.cls.stretch)
+        return len(node.out) + 1 > max(stands * node.member.size / self.sharers(node), 2)
 
     def sharers(self, node: Node) -> int:
         zones, zone = self.s.fronts_by_zone, node.member.zone
@@ -355,7 +356,7 @@
         """Past the gate: what the cache holds, stale within grace too, else a refusal."""
         work = self.work_of(req.e)
         node = self.place(req, work)
-        if node is None or req.sent or self.crowded(node, work):
+        if node is None or req.sent or self.crowded(node, req, work):
             self.give_up(req)
         else:
             self.send(req, node, node, work, fill=False, look=True)
@@ -497,7 +498,7 @@
             self.hits[key] = now
             if len(self.hits) > MEMORY_MOST:
                 self.hits.popitem(last=False)
-            if not self.crowded(node, 0) and 2 * len(node.out) * self.sharers(node) <= node.member.size:
+            if 2 * len(node.out) * self.sharers(node) <= node.member.size:
                 # a crowded cache sends slowly: that says nothing of sizes
                 self.work[attempt.req.e.cls] += WORK_GUESS * (e.elapsed - self.work[attempt.req.e.cls])
         if attempt.fill:
@@ -615,7 +616,7 @@
         for queue in islice(queues.values(), HOLD_SCAN):
             work = self.work_of(queue[0].e)
             node = self.place(queue[0], work)
-            if node is not None and self.crowded(node, work):
+            if node is not None and self.crowded(node, queue[0], work):
                 continue
             if self.fills >= self.bound and (node is None or not self.known(node, queue[0])):
                 continue
