--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -23,7 +23,7 @@
 FLOOR_EVERY = SECOND  # each tier with held requests releases at least one this often (design's floor)
 BOUND_START = 16  # fills in flight at the start (design)
 BOUND_LEAST, BOUND_MOST = 8, 256  # a halved bound still lets each tier go on; a doubled one stays finite
-BOUND_DOWN_EVERY = SECOND  # one step down a cause, not one an answer; one up takes a bound's worth of fills
+BAD_SHARE = 0.1  # the bound steps after a bound's worth of fills: down if more than this part went badly
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.75  # part of the slowing a class stands that a full cache link may use before its requests are held
@@ -105,7 +105,7 @@
         self.depth = [0] * len(TIER_WEIGHTS)
         self.credit = [0.0] * len(TIER_WEIGHTS)
         self.released = [now] * len(TIER_WEIGHTS)
-        self.bound, self.fills, self.good, self.down_at = BOUND_START, 0, 0, now
+        self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.extra, self.logs = EXTRA_MOST, 0
@@ -504,14 +504,16 @@
         if attempt.fill:
             self.fills -= 1
             delay = e.waited or e.elapsed - self.work_of(attempt.req.e)
-            if e.ending in (Ending.FULL, Ending.TIMEOUT) or (e.ending is Ending.OK and delay > cls.on_time):
-                self.good = 0
-                if now - self.down_at >= BOUND_DOWN_EVERY:
-                    self.bound, self.down_at = max(self.bound // 2, BOUND_LEAST), now
-            elif e.ending is Ending.OK:
-                self.good += 1
-                if any(self.depth) and self.good >= self.bound:
-                    self.bound, self.good = min(self.bound * 2, BOUND_MOST), 0
+            if e.ending in (Ending.FULL, Ending.TIMEOUT):
+                self.bad += 1
+            elif e.ending is Ending.OK and not from_cache:
+                self.bad, self.good = self.bad + (delay > cls.on_time), self.good + (delay <= cls.on_time)
+            if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
+                if self.bad > BAD_SHARE * self.bound:
+                    self.bound = max(self.bound // 2, BOUND_LEAST)
+                elif any(self.depth):
+                    self.bound = min(self.bound * 2, BOUND_MOST)
+                self.good = self.bad = 0
 
     # Health
 
