--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 from itertools import islice
 
 from quincepier import interface as io
@@ -28,9 +29,8 @@
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.75  # part of the slowing a class stands that a full cache link may use before its requests are held
 HOLD_SCAN = 32  # held objects looked through for one whose cache has room
-HOLD_MOST = 2000  # held requests of a tier; one more is answered as past the gate (the paper's depth)
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
-WATCH_EVERY = 100 * MS  # how often silence is looked for while attempts are out
+STANDSTILL = 100 * MS  # a gap between two rounds that shows this front itself as having stood still
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
 LOST_LEAST = 2  # attempts broken off in a row that make a loss: one may be a fault of the machine's
 SILENT_LEAST = 2  # overdue attempts that make a silence: one alone may be a large object
@@ -41,7 +41,7 @@
 MEMORY_MOST = 50_000  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
 RAN_NOT = frozenset((Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT, Ending.MISS))  # prove it never ran
-DEADLINE, HOLD, TICK, WATCH, RELIST = range(5)  # kinds of timer, in the lowest bits of a token
+DEADLINE, HOLD, ROUND, RELIST = range(4)  # kinds of timer, in the lowest bits of a token
 
 
 def mix(*numbers: int) -> int:
@@ -54,28 +54,33 @@
     return h
 
 
+def remember(memory: OrderedDict[tuple[int, int], int], key: tuple[int, int], when: int) -> None:
+    memory[key] = when
+    memory.move_to_end(key)
+    if len(memory) > MEMORY_MOST:
+        memory.popitem(last=False)
+
+
 class Node:
     """What this front knows of one machine on its list."""
 
     def __init__(self, member: io.Member) -> None:
-        self.member = member
+        self.member, self.size = member, max(member.size, 0.01)
         self.cold_at = member.up_since  # when it last started, as told or as guessed from its failing
-        self.heard = 0  # last answer that shows it at work
-        self.suspect = False
-        self.trial_at = self.wait = 0
+        self.heard = self.failed = 0  # its last sign of work, and the attempts broken off since
+        self.suspect, self.trial_at, self.wait = False, 0, 0
         self.trial: tuple[int, int] | None = None  # the one attempt that tries a suspect
-        self.failed = 0  # attempts broken off since it was last heard
         self.spent: deque[list[float]] = deque()  # [when, work sent], for the cold budget
         self.out: dict[tuple[int, int], Attempt] = {}
-        self.asked: deque[tuple[int, int]] = deque()  # recent requests (when, object) and their counts
-        self.count: dict[int, int] = {}
+        self.count, self.count_since = dict[int, int](), 0  # requests by object since then
+        self.hot: set[int] = set()  # objects that drew too large a part of the span before
 
 
 class Attempt:
     def __init__(self, req: Request, no: int, at: int, node: Node, source: Node | None) -> None:
         self.req, self.no, self.at, self.node, self.source = req, no, at, node, source
         self.fill = self.look = False
-        self.charge: list[float] | None = None  # asked of a source, given back where it filled nothing
+        self.charge: list[float] = []  # what is booked to the source, given back where it filled nothing
 
 
 class Request:
@@ -83,9 +88,8 @@
         self.e, self.cls, self.tier, self.came = e, cls, tier, now
         self.deadline = now + e.time_left
         self.open: dict[int, Attempt] = {}
-        self.sent = 0
-        self.held = self.begun = False
-        self.first_ran: tuple[int, Node] | None = None  # send time and cache of the first that may have run
+        self.sent, self.held, self.begun = 0, False, False
+        self.first_ran: tuple[int, io.Member] | None = None  # when and where one first may have run
         self.avoid: list[Node] = []
         self.key = mix(e.object, e.part)
 
@@ -94,24 +98,21 @@
     def __init__(self, settings: io.Settings, seed: int, now: int) -> None:
         self.s, self.now, self.random = settings, now, random.Random(seed)
         worths = sorted({c.worth for c in settings.classes if not c.never_kept}, reverse=True)
-        ranks = {worth: n for n, worth in enumerate(worths)}
-        last = max(len(worths) - 1, 1)
-        self.tiers = [math.ceil(2 * ranks.get(c.worth, 0) / last) for c in settings.classes]
+        place = {worth: math.ceil(2 * n / max(len(worths) - 1, 1)) for n, worth in enumerate(worths)}
+        self.tiers = [place.get(c.worth, 0) for c in settings.classes]
         self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
         self.samples = [1] * len(settings.classes)
         self.nodes: dict[int, Node] = {}
+        self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
-        self.depth = [0] * len(TIER_WEIGHTS)
-        self.credit = [0.0] * len(TIER_WEIGHTS)
-        self.released = [now] * len(TIER_WEIGHTS)
+        self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.extra, self.logs = EXTRA_MOST, 0
-        self.ticking = self.watching = False
-        self.watched = now
+        self.awake, self.watched = False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
 
@@ -128,15 +129,13 @@
                 self.listed(event)
             case io.Purged(group, obj, ago):
                 key = (0, obj) if obj else (1, group)
-                self.purges[key] = max(now - ago, self.purges.pop(key, 0))
-                while len(self.purges) > MEMORY_MOST:
-                    self.purges.popitem(last=False)
-            case io.StreamBegan(request, attempt):
-                if request in self.requests:
-                    self.begun(self.requests[request], attempt)
-            case io.ClientLeft(request):
-                if request in self.requests:
-                    self.close(self.requests[request])
+                remember(self.purges, key, max(now - ago, self.purges.get(key, 0)))
+            case io.StreamBegan(request, attempt) if request in self.requests:
+                req = self.requests[request]
+                self.call_off(a for a in req.open.values() if a.no != attempt)
+                req.begun = True
+            case io.ClientLeft(request) if request in self.requests:
+                self.close(self.requests[request])
         return self.out
 
     # The list of machines
@@ -144,43 +143,38 @@
     def listed(self, news: io.ListNews) -> None:
         if news.scope is ListScope.FAILED:
             self.timer_in(SECOND, RELIST)
-            return
+        if news.scope is ListScope.REMEMBERED and self.s.list_on_request:
+            self.out.append(io.Follow())
+        gone = {m.cache for m in news.members if m.state is CacheState.GONE}
         if news.scope in (ListScope.FULL, ListScope.REMEMBERED):
-            named = {m.cache for m in news.members}
-            for cache in [c for c in self.nodes if c not in named]:
-                self.drop(cache)
-            if news.scope is ListScope.REMEMBERED and self.s.list_on_request:
-                self.out.append(io.Follow())
+            gone |= self.nodes.keys() - {m.cache for m in news.members}
+        for cache in sorted(gone & self.nodes.keys()):
+            self.rescue(self.nodes.pop(cache))
         for m in news.members:
             node = self.nodes.get(m.cache)
-            if m.state is CacheState.GONE:
-                self.drop(m.cache)
-            elif node is None:
+            if node is None and m.cache not in gone:
                 self.nodes[m.cache] = Node(m)
-            else:
+            elif node is not None:
                 if m.up_since > node.member.up_since:
                     node.cold_at = max(node.cold_at, m.up_since)
                     node.suspect, node.trial, node.wait = False, None, 0
-                node.member = m
-
-    def drop(self, cache: int) -> None:
-        node = self.nodes.pop(cache, None)
-        if node is not None:
-            self.rescue(node)
+                node.member, node.size = m, max(m.size, 0.01)
+        s, nodes = self.s, self.nodes.values()
+        self.parents = [n for n in nodes if n.member.kind == s.parent_kind]
+        self.origins = [n for n in nodes if n.member.kind == s.origin_kind]
+        upper = (s.parent_kind, s.origin_kind)
+        self.edges = [n for n in nodes if n.member.kind not in upper and n.member.zone == s.zone]
 
     # Requests come and go
 
     def came(self, e: io.RequestCame) -> None:
         tier = self.tiers[e.cls]
         if e.tenant < len(self.quota):  # past its tenant's share a request is worth little: lowest tier
-            saved, at = self.quota[e.tenant]
-            rate = self.s.tenant_quotas[e.tenant] / self.s.fronts
+            rate, (saved, at) = self.s.tenant_quotas[e.tenant] / self.s.fronts, self.quota[e.tenant]
             saved = min(rate, saved + rate * (self.now - at) / SECOND)
-            if saved < 1 and self.s.over_share_worth < 1:
-                tier = len(TIER_WEIGHTS) - 1
+            tier = 2 if saved < 1 and self.s.over_share_worth < 1 else tier
             self.quota[e.tenant] = (max(saved - 1, 0.0), self.now)
-        req = Request(e, self.s.classes[e.cls], tier, self.now)
-        self.requests[e.request] = req
+        req = self.requests[e.request] = Request(e, self.s.classes[e.cls], tier, self.now)
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
         if e.time_left <= self.s.step:  # it waited for this front, which stood still: no time is left to try
             self.give_up(req)
@@ -192,31 +186,24 @@
         """Forget a request that has its final answer; what is still out for it is called off."""
         del self.requests[req.e.request]
         self.unhold(req)
-        for attempt in req.open.values():
-            self.cancel(attempt)
+        self.call_off(req.open.values())
 
-    def cancel(self, attempt: Attempt) -> None:
-        if self.s.cancel and not attempt.req.begun:
-            self.out.append(io.Cancel(attempt.req.e.request, attempt.no))
+    def call_off(self, attempts: Iterable[Attempt]) -> None:
+        for a in attempts:
+            if self.s.cancel and not a.req.begun:
+                self.out.append(io.Cancel(a.req.e.request, a.no))
 
     def give_up(self, req: Request) -> None:
         """The final answer, at once: a refusal where that is known to be harmless, else a failure."""
-        cls, tried = req.cls, req.first_ran is not None or bool(req.open)
+        cls, untried = req.cls, req.first_ran is None and not req.open
         everywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
-        harmless = cls.effect is Effect.SAFE or everywhere or not tried
         self.close(req)
-        if harmless:
-            advice = min(self.s.max_retry_after, SECOND) if self.s.retry_after else 0
+        if untried or everywhere or cls.effect is Effect.SAFE:  # spread: not all back at once
+            advice = int(self.random.uniform(0.8, 1) * self.s.max_retry_after) if self.s.retry_after else 0
             self.out.append(io.Refuse(req.e.request, advice))
         else:
             self.out.append(io.Fail(req.e.request))
 
-    def begun(self, req: Request, no: int) -> None:
-        for attempt in req.open.values():
-            if attempt.no != no:
-                self.cancel(attempt)
-        req.begun = True
-
     # Where a request goes
 
     def rank(self, nodes: list[Node], key: int) -> list[Node]:
@@ -224,144 +211,89 @@
 
         def score(node: Node) -> tuple[float, int]:
             u = (mix(key, node.member.cache) + 1) / 2**64
-            size = max(node.member.size, 0.01) if self.s.sizes_compare else 1.0
-            return math.log(u) / size, node.member.cache
+            return math.log(u) / (node.size if self.s.sizes_compare else 1.0), node.member.cache
 
         return sorted(nodes, key=score, reverse=True)
 
-    def listed_as(self, kind: str) -> list[Node]:
-        s, nodes = self.s, self.nodes.values()
-        if kind == "edge":
-            upper = (s.parent_kind, s.origin_kind)
-            return [n for n in nodes if n.member.kind not in upper and n.member.zone == s.zone]
-        wanted = s.parent_kind if kind == "parent" else s.origin_kind
-        return [n for n in nodes if n.member.kind == wanted]
-
-    def usable(self, node: Node) -> bool:
-        if node.member.state is not CacheState.READY:
+    def usable(self, node: Node, req: Request) -> bool:
+        if node.member.state is not CacheState.READY or node in req.avoid:
             return False
-        return not node.suspect or (node.trial is None and self.now >= node.trial_at)
+        on_trial = node.trial is None and self.now >= node.trial_at
+        return (on_trial or not node.suspect) and self.room(node, self.work_of(req))
 
     def room(self, node: Node, work: float) -> bool:
         """Whether a machine that started lately may be asked for so much more (rule four)."""
         s, kind = self.s, node.member.kind
-        if kind == s.origin_kind:
-            return True
+        least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
         if kind == s.parent_kind:
             least, multiple, warm = s.parent_cold_from, s.parent_cold_multiple, s.parent_cold_time
-        else:
-            least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
-        while node.spent and node.spent[0][0] < self.now - s.cold_window:
-            node.spent.popleft()
         age = self.now - node.cold_at - s.cold_window  # a window has what it began with
-        if node.cold_at == 0 or age >= warm:
+        if node.cold_at == 0 or age >= warm or kind == s.origin_kind:
             return True
         share = least + (1 - least) * max(age, 0) / max(warm, 1)
-        mine = max(node.member.size, 0.01) * COLD_SAFETY / self.sharers(node)
-        budget = multiple * share * mine * s.cold_window
-        return sum(w for _, w in node.spent) + work <= budget
-
-    def place(self, req: Request, work: float) -> Node | None:
-        ranked = self.rank(self.listed_as("edge"), req.key)
-        good = [n for n in ranked if self.usable(n) and n not in req.avoid]
-        good = [n for n in good if self.room(n, work)]
-        if len(good) > 1 and good[0].count.get(req.e.object, 0) > HOT_SHARE * len(good[0].asked) and (
-            len(good[0].asked) >= HOT_LEAST
-        ):
+        budget = multiple * share * node.size * s.cold_window * COLD_SAFETY / self.sharers(node)
+        return sum(w for at, w in node.spent if at >= self.now - s.cold_window) + work <= budget
+
+    def place(self, req: Request) -> Node | None:
+        """The edge cache by hash of object and part; of the first two the idler for a hot object."""
+        good = [n for n in self.rank(self.edges, req.key) if self.usable(n, req)]
+        if len(good) > 1 and req.e.object in good[0].hot:
             return min(good[:2], key=lambda n: len(n.out))
         return good[0] if good else None
 
-    def source(self, req: Request, work: float) -> Node | None:
+    def source(self, req: Request) -> Node | None:
         """An object's parent by hash over all listed; the next by hash where one is down or cold."""
-        for kind in ("parent", "origin"):
-            ranked = self.rank(self.listed_as(kind), mix(req.e.object))
-            for node in ranked:
-                if self.usable(node) and node not in req.avoid and self.room(node, work):
-                    return node
-        return None
-
-    def route(self, req: Request) -> None:
-        """Send a request now, hold it, or answer it as past the gate."""
-        e, cls = req.e, req.cls
-        work = self.work_of(e)
-        if cls.never_kept:
-            self.pass_on(req, work)
-            return
-        node = self.place(req, work)
-        if node is not None and self.crowded(node, req, work):
+        ranked = self.rank(self.parents, mix(req.e.object)) + self.origins
+        return next((n for n in ranked if self.usable(n, req)), None)
+
+    def route(self, req: Request, leaving: bool = False) -> None:
+        """Send a request, hold it, or answer it as past the gate. What leaves a hold is placed anew."""
+        kept, node, source = not req.cls.never_kept, self.place(req), self.source(req)
+        origin = next((n for n in self.origins if self.s.direct and self.usable(n, req)), None)
+        if origin is not None and not kept:  # classes never kept pass untouched
+            self.send(req, origin, None)
+        elif kept and not leaving and node is not None and self.crowded(node, req):
             self.hold(req)
-        elif node is not None and self.known(node, req):
-            self.send(req, node, self.source(req, work) or node, work, fill=False)
-        elif req.tier == len(TIER_WEIGHTS) - 1 and self.fills >= GATE * self.bound:
-            self.shed(req)
-        elif self.fills < self.bound and not any(self.depth):
-            self.fill(req)
+        elif kept and not leaving and not (node is not None and self.known(node, req)):
+            lowest_past_gate = req.tier == 2 and self.fills >= GATE * self.bound
+            must_wait = self.fills >= self.bound or any(self.depth)
+            (self.shed if lowest_past_gate else self.hold if must_wait else self.leave)(req)
+        elif target := node or (source if self.s.direct else None):  # no cache to ask: straight to the parent
+            self.send(req, target, source or target)
         else:
-            self.hold(req)
+            self.give_up(req)
 
-    def crowded(self, node: Node, req: Request, work: float) -> bool:
+    def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
         if not self.s.sizes_compare or node.member.kind in (self.s.parent_kind, self.s.origin_kind):
             return False
-        stands = CROWD * (req.cls.on_time / work + req.cls.stretch)
-        return len(node.out) + 1 > max(stands * node.member.size / self.sharers(node), 2)
+        stands = CROWD * (req.cls.on_time / self.work_of(req) + req.cls.stretch)
+        return len(node.out) + 1 > max(stands * node.size / self.sharers(node), 2)
 
     def sharers(self, node: Node) -> int:
-        zones, zone = self.s.fronts_by_zone, node.member.zone
-        if node.member.kind == self.s.parent_kind or zone >= len(zones):
-            return max(self.s.fronts, 1)
-        return max(zones[zone], 1)
+        zones, m = self.s.fronts_by_zone, node.member
+        all_reach = m.kind == self.s.parent_kind or m.zone >= len(zones)
+        return max(self.s.fronts if all_reach else zones[m.zone], 1)
 
     def hold(self, req: Request) -> None:
-        if self.depth[req.tier] >= HOLD_MOST:
-            self.shed(req)
-            return
         self.held[req.tier].setdefault(req.key, deque()).append(req)
         self.depth[req.tier] += 1
         req.held = True
-        aim = req.cls.on_time + req.cls.stretch * self.work_of(req.e)
+        aim = req.cls.on_time + req.cls.stretch * self.work_of(req)
         self.timer_in((1 - CROWD) * aim, HOLD, req.e.request)  # what a crowded link leaves of the time wanted
-        if not self.ticking:
-            self.ticking = True
-            self.timer_in(RELEASE_EVERY, TICK)
-
-    def fill(self, req: Request) -> None:
-        """An attempt that may fill; cache, source and age are found anew, however long it was held."""
-        work = self.work_of(req.e)
-        node, source = self.place(req, work), self.source(req, work)
-        if node is None and self.s.direct:
-            node = source  # no cache of the zone can be asked: straight to the parent
-        if node is None:
-            self.give_up(req)
-        else:
-            self.send(req, node, source or node, work, fill=not self.known(node, req))
+        self.wake()
 
     def known(self, node: Node, req: Request) -> bool:
         """Whether an answer showed this part as a hit at this cache lately: then it is no fill."""
-        seen = self.hits.get((node.member.cache, req.key))
-        return seen is not None and self.now - seen < HIT_MEMORY
-
-    def pass_on(self, req: Request, work: float) -> None:
-        """Classes never kept pass untouched: straight to the origin, or by a cache that names it."""
-        origin = next((n for n in self.listed_as("origin") if n.member.state is CacheState.READY), None)
-        if origin is not None and self.s.direct and origin not in req.avoid:
-            self.send(req, origin, None, work, fill=False)
-            return
-        node = self.place(req, work)
-        if node is None:
-            self.give_up(req)
-        else:
-            source = self.source(req, work)
-            self.send(req, node, source or origin or node, work, fill=False)
+        return self.now - self.hits.get((node.member.cache, req.key), self.now - HIT_MEMORY) < HIT_MEMORY
 
     def shed(self, req: Request) -> None:
         """Past the gate: what the cache holds, stale within grace too, else a refusal."""
-        work = self.work_of(req.e)
-        node = self.place(req, work)
-        if node is None or req.sent or self.crowded(node, req, work):
+        node = self.place(req)
+        if node is None or req.sent or self.crowded(node, req):
             self.give_up(req)
         else:
-            self.send(req, node, node, work, fill=False, look=True)
+            self.send(req, node, node)
 
     def oldest(self, req: Request, stale: bool) -> int:
         """The age limit (0: the class's own); never a copy from before a purge that may not have settled."""
@@ -373,39 +305,33 @@
             age = min(age or cls.fresh or since, since)
         return age
 
-    def send(
-        self, req: Request, node: Node, source: Node | None, work: float, fill: bool, look: bool = False
-    ) -> None:
-        e, now = req.e, self.now
-        patience = max(req.deadline - now, 1)
+    def send(self, req: Request, node: Node, source: Node | None) -> None:
+        e, now, work = req.e, self.now, self.work_of(req)
         if req.sent >= self.s.attempts or not self.harmless(req, node) or req.deadline - now <= self.s.step:
             self.give_up(req)
             return
         attempt = Attempt(req, req.sent, now, node, source if source is not node else None)
-        attempt.fill, attempt.look = fill, look
-        req.open[req.sent] = node.out[e.request, req.sent] = self.attempts[e.request, req.sent] = attempt
+        attempt.look = look = source is node and node in self.edges  # a cache as its own source fills nothing
+        attempt.fill = not (look or req.cls.never_kept or self.known(node, req))
+        req.open[req.sent] = self.attempts[e.request, req.sent] = attempt
         req.sent += 1
-        self.fills += fill
-        node.spent.append([now, work])
-        if node.suspect:
-            node.trial = (e.request, attempt.no)
-        if node.member.kind not in (self.s.parent_kind, self.s.origin_kind):
-            self.seen(node, e.object)
-        if attempt.source is not None:
-            attempt.charge = [now, work]
-            attempt.source.spent.append(attempt.charge)
-            attempt.source.out[e.request, attempt.no] = attempt
-            if attempt.source.suspect:
-                attempt.source.trial = (e.request, attempt.no)
+        self.fills += attempt.fill
+        self.seen(node, e.object)
+        for machine in filter(None, (node, attempt.source)):
+            attempt.charge = [now, work]  # the source's, where there is one
+            machine.spent.append(attempt.charge)
+            while machine.spent[0][0] < now - self.s.cold_window:
+                machine.spent.popleft()
+            machine.out[e.request, attempt.no] = attempt
+            if machine.suspect:
+                machine.trial = (e.request, attempt.no)
         if source is None:
-            self.out.append(io.Ask(e.request, node.member.cache, patience))
+            self.out.append(io.Ask(e.request, node.member.cache, req.deadline - now))
         else:
             join, renew = self.s.joins and not look, req.cls.fresh > 0 and not look
             age, to, by = self.oldest(req, look), node.member.cache, source.member.cache
-            self.out.append(io.Fetch(e.request, to, patience, by, 1, age, join, renew, False))
-        if not self.watching:
-            self.watching, self.watched = True, self.now
-            self.timer_in(WATCH_EVERY, WATCH)
+            self.out.append(io.Fetch(e.request, to, req.deadline - now, by, 1, age, join, renew, False))
+        self.wake()
 
     def harmless(self, req: Request, node: Node) -> bool:
         """Whether what an earlier attempt may have done allows another at this machine (rule two)."""
@@ -415,27 +341,21 @@
             return True
         if req.cls.effect is Effect.UNSAFE or req.first_ran is None or req.open:
             return False
-        sent, first = req.first_ran
-        same = {
-            Group.ALL: True,
-            Group.ZONE: node.member.zone == first.member.zone,
-            Group.CELL: node.member.cell == first.member.cell,
-        }
-        return same[req.cls.group] and self.now - sent < req.cls.window
+        (sent, first), here, group = req.first_ran, node.member, req.cls.group
+        near = here.zone == first.zone if group is Group.ZONE else here.cell == first.cell
+        return (near or group is Group.ALL) and self.now - sent < req.cls.window
 
     def seen(self, node: Node, obj: int) -> None:
-        node.asked.append((self.now, obj))
+        if self.now - node.count_since > HOT_SPAN:
+            total = sum(node.count.values())
+            node.hot = {o for o, c in node.count.items() if c > HOT_SHARE * total and total >= HOT_LEAST}
+            node.count, node.count_since = {}, self.now
         node.count[obj] = node.count.get(obj, 0) + 1
-        while node.asked and node.asked[0][0] < self.now - HOT_SPAN:
-            _, old = node.asked.popleft()
-            node.count[old] -= 1
-            if not node.count[old]:
-                del node.count[old]
 
-    def work_of(self, e: io.RequestCame) -> float:
+    def work_of(self, req: Request) -> float:
         """Sending time of a request: the class's mean, or its own where sizes are told and it is larger."""
-        own = e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
-        return max(self.work[e.cls], own)
+        own = req.e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
+        return max(self.work[req.e.cls], own, MS)
 
     # Answers
 
@@ -445,41 +365,37 @@
             return
         req = attempt.req
         req.open.pop(e.attempt, None)
-        for node in (attempt.node, attempt.source):
-            if node is not None:
-                node.out.pop((e.request, e.attempt), None)
-                if node.trial == (e.request, e.attempt):
-                    node.trial = None
+        for node in filter(None, (attempt.node, attempt.source)):
+            node.out.pop((e.request, e.attempt), None)
+            node.trial = None if node.trial == (e.request, e.attempt) else node.trial
         self.learn(attempt, e)
         if e.ending not in RAN_NOT and (req.first_ran is None or attempt.at < req.first_ran[0]):
-            req.first_ran = (attempt.at, attempt.node)
+            req.first_ran = (attempt.at, attempt.node.member)
         if self.requests.get(e.request) is req:
             if e.last:
                 self.close(req)
-            elif e.ending is not Ending.OK and not req.open and not req.held:
+            elif e.ending is not Ending.OK and not req.open:
                 self.again(req, attempt, e)
         self.release()
 
     def again(self, req: Request, attempt: Attempt, e: io.AttemptEnded) -> None:
         """After an attempt that served nothing: another one, while it can help and what ran allows it."""
         node, source = attempt.node, attempt.source
-        if attempt.look and e.ending is Ending.MISS:
-            self.give_up(req)
-            return
         if e.note in (Note.SOURCE_REFUSED, Note.SOURCE_BROKEN, Note.SOURCE_LACKS, Note.ORIGIN_FAILED):
             req.avoid += [source or node]
         else:
             req.avoid += [node]
             if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
                 req.avoid += [source]  # not told whose fault it was: change both
-        if self.extra < 1 or req.sent > MORE_ATTEMPTS or req.deadline - self.now < self.work[req.e.cls]:
+        useless = attempt.look and e.ending is Ending.MISS or req.deadline - self.now < self.work[req.e.cls]
+        if useless or self.extra < 1 or req.sent > MORE_ATTEMPTS:
             self.give_up(req)
         else:
             self.extra -= 1
             self.route(req)
 
     def learn(self, attempt: Attempt, e: io.AttemptEnded) -> None:
-        node, source, cls, now = attempt.node, attempt.source, attempt.req.cls, self.now
+        node, source, now = attempt.node, attempt.source, self.now
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
         if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
             node.failed += 1
@@ -494,26 +410,23 @@
                     self.distrust(source, "broken as a source")
             elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
                 self.trust(source)
-            if from_cache and attempt.charge is not None:
+            if from_cache:
                 attempt.charge[1] = 0.0
         if from_cache:
-            key = (node.member.cache, attempt.req.key)
-            self.hits.pop(key, None)
-            self.hits[key] = now
-            if len(self.hits) > MEMORY_MOST:
-                self.hits.popitem(last=False)
-            slowed = (len(node.out) + 1) * self.sharers(node) / max(node.member.size, 0.01)
-            own = e.elapsed / max(slowed if self.s.sizes_compare else 1.0, 1.0)  # a full link is shared
-            n = attempt.req.e.cls
-            self.samples[n] += 1
-            self.work[n] += max(WORK_GUESS, 1 / self.samples[n]) * (own - self.work[n])
+            remember(self.hits, (node.member.cache, attempt.req.key), now)
+            slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
+            own = e.elapsed / max(slowed, 1.0)  # a full link is shared
+            self.samples[attempt.req.e.cls] += 1
+            gain = max(WORK_GUESS, 1 / self.samples[attempt.req.e.cls])
+            self.work[attempt.req.e.cls] += gain * (own - self.work[attempt.req.e.cls])
         if attempt.fill:
             self.fills -= 1
-            delay = e.waited or e.elapsed - self.work_of(attempt.req.e)
+            delay = e.waited or e.elapsed - self.work_of(attempt.req)
             if e.ending in (Ending.FULL, Ending.TIMEOUT):
                 self.bad += 1
             elif e.ending is Ending.OK and not from_cache:
-                self.bad, self.good = self.bad + (delay > cls.on_time), self.good + (delay <= cls.on_time)
+                slow = delay > attempt.req.cls.on_time
+                self.bad, self.good = self.bad + slow, self.good + (not slow)
             if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
                 if self.bad > BAD_SHARE * self.bound:
                     self.bound = max(self.bound // 2, BOUND_LEAST)
@@ -524,13 +437,12 @@
     # Health
 
     def trust(self, node: Node) -> None:
-        node.heard = self.now
+        node.heard, node.failed = self.now, 0
         if node.suspect:
             if node.wait > SUSPECT_FOR:  # a trial failed: it was away and starts anew, told or not
                 node.cold_at = self.now
             node.suspect, node.wait = False, 0
             self.log(f"machine {node.member.cache} answers again")
-        node.failed = 0
 
     def distrust(self, node: Node, why: str) -> None:
         """Set a machine aside; one real request tries it after a wait, so that it comes back by itself."""
@@ -544,20 +456,18 @@
 
     def rescue(self, node: Node) -> None:
         """What waits on a lost machine gives its slot back and, where harmless, goes elsewhere."""
-        for attempt in list(node.out.values()):
-            if attempt.fill:
-                attempt.fill, self.fills = False, self.fills - 1
-            if attempt.req.cls.effect is Effect.SAFE and not attempt.req.begun:
-                self.cancel(attempt)
+        for a in node.out.values():
+            self.fills, a.fill = self.fills - a.fill, False
+        self.call_off(a for a in list(node.out.values()) if a.req.cls.effect is Effect.SAFE)
 
     def watch(self) -> None:
-        stood_still, self.watched = self.now - self.watched > 3 * WATCH_EVERY, self.now
-        if stood_still:  # this front did: the answers that it missed are still to come
+        since, self.watched = self.now - self.watched, self.now
+        if since > STANDSTILL:  # this front stood still: the answers that it missed are still to come
             return
         for node in list(self.nodes.values()):
             late = 0
             for a in node.out.values():
-                limit = max(SECOND, a.req.cls.on_time + a.req.cls.stretch * self.work_of(a.req.e))
+                limit = max(SECOND, a.req.cls.on_time + a.req.cls.stretch * self.work_of(a.req))
                 if a.at > self.now - limit or a.at < node.heard or a.req.begun:
                     continue
                 # a source is silent only if the cache that asks it is not
@@ -567,7 +477,7 @@
 
     # Timers, held requests, logs
 
-    def timer_in(self, wait: int, kind: int, about: int = 0) -> None:
+    def timer_in(self, wait: float, kind: int, about: int = 0) -> None:
         self.out.append(io.SetTimer(int(wait), about << 3 | kind))
 
     def timer(self, kind: int, about: int) -> None:
@@ -575,22 +485,22 @@
         if kind == DEADLINE and req is not None and not req.begun:
             self.close(req)
             self.out.append(io.Fail(about))
-            self.release()
         elif kind == HOLD and req is not None and req.held:
             self.unhold(req)
             self.shed(req)
         elif kind == RELIST:
             self.out.append(io.Follow())
-        elif kind == WATCH:
-            self.watch()
-            self.watching = bool(self.attempts)
-            if self.watching:
-                self.timer_in(WATCH_EVERY, WATCH)
-        elif kind == TICK:
+        elif kind == ROUND:
+            self.awake = False
             self.release()
-            self.ticking = any(self.depth)
-            if self.ticking:
-                self.timer_in(RELEASE_EVERY, TICK)
+            self.watch()
+            self.wake()
+
+    def wake(self) -> None:
+        """Go round every release interval while anything is out or held."""
+        if not self.awake and (self.attempts or any(self.depth)):
+            self.awake = True
+            self.timer_in(RELEASE_EVERY, ROUND)
 
     def unhold(self, req: Request) -> None:
         if req.held:
@@ -598,8 +508,7 @@
             queue.remove(req)
             if not queue:
                 del self.held[req.tier][req.key]
-            self.depth[req.tier] -= 1
-            req.held = False
+            self.depth[req.tier], req.held = self.depth[req.tier] - 1, False
 
     def release(self) -> None:
         """Held requests leave by weighted shares; an empty tier lends its share, each keeps a floor."""
@@ -614,19 +523,19 @@
             tier = starved[0] if starved else max(heads, key=lambda t: self.credit[t])
             self.credit[tier] -= sum(shares.values())
             self.released[tier] = self.now
-            req = heads[tier][0]
-            self.unhold(req)
-            self.fill(req)
+            self.leave(heads[tier][0])
+
+    def leave(self, req: Request) -> None:
+        self.unhold(req)
+        self.route(req, True)
 
     def head(self, queues: OrderedDict[int, deque[Request]]) -> deque[Request] | None:
         """The held object most waited for of those that may leave now, else the first of them."""
         best = None
         for queue in islice(queues.values(), HOLD_SCAN):
-            work = self.work_of(queue[0].e)
-            node = self.place(queue[0], work)
-            if node is not None and self.crowded(node, queue[0], work):
-                continue
-            if self.fills >= self.bound and (node is None or not self.known(node, queue[0])):
+            node = self.place(queue[0])
+            full = node is not None and self.crowded(node, queue[0])
+            if full or self.fills >= self.bound and (node is None or not self.known(node, queue[0])):
                 continue
             if best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY:
                 best = queue
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -135,3 +135,8 @@
 
 def finals(actions: list[io.Action]) -> list[io.Refuse | io.Fail]:
     return [a for a in actions if isinstance(a, io.Refuse | io.Fail)]
+
+
+def refused(actions: list[io.Action]) -> list[int]:
+    """The requests refused, where each refusal says when to come back."""
+    return [a.request for a in finals(actions) if isinstance(a, io.Refuse) and a.retry_after > 0]
