--- a/quincepier/simwire.py
+++ b/quincepier/simwire.py
@@ -116,7 +116,7 @@
 
 
 def _tail(data: bytes, at: int, size: int, code: int) -> bytes:
-    if at + size > len(data):
+    if size and at + size > len(data):
         raise WireError(f"record {code} lacks content that its count names")
     return data[at : at + size]
 
