Count a fill that comes late as slow, not only one that begins late

Cause: with a thin origin link or a full link in, first bytes came in time but whole answers late, and the bound stayed high. It covers any slowness behind the caches; large objects count as slow where sizes are not told, which the step's share allows for.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -421,11 +421,11 @@
             self.work[attempt.req.e.cls] += gain * (own - self.work[attempt.req.e.cls])
         if attempt.fill:
             self.fills -= 1
-            delay = e.waited or e.elapsed - self.work_of(attempt.req)
+            work, cls = self.work_of(attempt.req), attempt.req.cls
             if e.ending in (Ending.FULL, Ending.TIMEOUT):
                 self.bad += 1
             elif e.ending is Ending.OK and not from_cache:
-                slow = delay > attempt.req.cls.on_time
+                slow = e.waited > cls.on_time or e.elapsed > cls.on_time + cls.stretch * work
                 self.bad, self.good = self.bad + slow, self.good + (not slow)
             if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
                 if self.bad > BAD_SHARE * self.bound:
