Blame an object that breaks attempts at several machines, not the machines

Told from lost caches: other attempts at the same cache went on, and no connection failed. It should cover any request that kills what serves it; it might spare a zone whose caches all break at once for one more attempt each.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -88,7 +88,7 @@
         self.e, self.cls, self.tier, self.came = e, cls, tier, now
         self.deadline = now + e.time_left
         self.open: dict[int, Attempt] = {}
-        self.sent, self.held, self.begun = 0, False, False
+        self.sent, self.held, self.begun, self.poison = 0, False, False, False
         self.first_ran: tuple[int, io.Member] | None = None  # when and where one first may have run
         self.avoid: list[Node] = []
         self.key = mix(e.object, e.part)
@@ -111,6 +111,7 @@
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
+        self.broke: OrderedDict[tuple[int, int], int] = OrderedDict()  # objects that broke off, and where
         self.extra, self.logs = EXTRA_MOST, 0
         self.awake, self.watched = False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
@@ -388,7 +389,7 @@
             if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
                 req.avoid += [source]  # not told whose fault it was: change both
         useless = attempt.look and e.ending is Ending.MISS or req.deadline - self.now < self.work[req.e.cls]
-        if useless or self.extra < 1 or req.sent > MORE_ATTEMPTS:
+        if useless or req.poison or self.extra < 1 or req.sent > MORE_ATTEMPTS:
             self.give_up(req)
         else:
             self.extra -= 1
@@ -397,7 +398,13 @@
     def learn(self, attempt: Attempt, e: io.AttemptEnded) -> None:
         node, source, now = attempt.node, attempt.source, self.now
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
-        if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
+        if e.ending is Ending.RESET:
+            obj, cache = (attempt.req.e.object, 0), node.member.cache
+            # an object that breaks attempts at one machine after another is at fault itself: no machine is
+            # blamed for it, and it is carried to no further one
+            attempt.req.poison = self.broke.get(obj, cache) != cache
+            remember(self.broke, obj, cache)
+        if e.ending in (Ending.CONNECT_FAILED, Ending.RESET) and not attempt.req.poison:
             node.failed += 1
             if e.ending is Ending.CONNECT_FAILED or node.failed >= LOST_LEAST:
                 self.distrust(node, "lost")
