Take the blame of objects back; four resets in a row make a loss

Setting those six aside moved their load onto the rest. It should cover any machine that fails some of its work; it might keep a machine that fails most of it a little longer.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -32,7 +32,7 @@
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
 STANDSTILL = 100 * MS  # a gap between two rounds that shows this front itself as having stood still
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
-LOST_LEAST = 2  # attempts broken off in a row that make a loss: one may be a fault of the machine's
+LOST_LEAST = 4  # attempts broken off in a row that make a loss; a faulty machine that serves most is of use
 SILENT_LEAST = 2  # overdue attempts that make a silence: one alone may be a large object
 COLD_SAFETY = 0.5  # part of a cold budget that is used: sizes are rough, and answers show work late
 MORE_ATTEMPTS = 3  # further attempts for a request
@@ -67,7 +67,7 @@
     def __init__(self, member: io.Member) -> None:
         self.member, self.size = member, max(member.size, 0.01)
         self.cold_at = member.up_since  # when it last started, as told or as guessed from its failing
-        self.heard = self.failed = 0  # its last sign of work, and the attempts broken off since
+        self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
         self.trial: tuple[int, int] | None = None  # the one attempt that tries a suspect
         self.spent: deque[list[float]] = deque()  # [when, work sent], for the cold budget
@@ -88,7 +88,7 @@
         self.e, self.cls, self.tier, self.came = e, cls, tier, now
         self.deadline = now + e.time_left
         self.open: dict[int, Attempt] = {}
-        self.sent, self.held, self.begun, self.poison = 0, False, False, False
+        self.sent, self.held, self.begun = 0, False, False
         self.first_ran: tuple[int, io.Member] | None = None  # when and where one first may have run
         self.avoid: list[Node] = []
         self.key = mix(e.object, e.part)
@@ -111,7 +111,6 @@
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
-        self.broke: OrderedDict[tuple[int, int], int] = OrderedDict()  # objects that broke off, and where
         self.extra, self.logs = EXTRA_MOST, 0
         self.awake, self.watched = False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
@@ -389,7 +388,7 @@
             if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
                 req.avoid += [source]  # not told whose fault it was: change both
         useless = attempt.look and e.ending is Ending.MISS or req.deadline - self.now < self.work[req.e.cls]
-        if useless or req.poison or self.extra < 1 or req.sent > MORE_ATTEMPTS:
+        if useless or self.extra < 1 or req.sent > MORE_ATTEMPTS:
             self.give_up(req)
         else:
             self.extra -= 1
@@ -398,22 +397,16 @@
     def learn(self, attempt: Attempt, e: io.AttemptEnded) -> None:
         node, source, now = attempt.node, attempt.source, self.now
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
-        if e.ending is Ending.RESET:
-            obj, cache = (attempt.req.e.object, 0), node.member.cache
-            # an object that breaks attempts at one machine after another is at fault itself: no machine is
-            # blamed for it, and it is carried to no further one
-            attempt.req.poison = self.broke.get(obj, cache) != cache
-            remember(self.broke, obj, cache)
-        if e.ending in (Ending.CONNECT_FAILED, Ending.RESET) and not attempt.req.poison:
-            node.failed += 1
-            if e.ending is Ending.CONNECT_FAILED or node.failed >= LOST_LEAST:
+        if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
+            node.failed += 1 if e.ending is Ending.RESET else LOST_LEAST
+            if node.failed >= LOST_LEAST:
                 self.distrust(node, "lost")
         elif e.ending in (Ending.OK, Ending.ERROR, Ending.FULL, Ending.MISS):
             self.trust(node)
         if source is not None:
             if e.note in (Note.SOURCE_BROKEN, Note.SOURCE_REFUSED):  # a dead process refuses, a full one too
-                source.failed += 1
-                if e.note is Note.SOURCE_BROKEN or source.failed >= LOST_LEAST:
+                source.failed += LOST_LEAST if e.note is Note.SOURCE_BROKEN else LOST_LEAST / 2
+                if source.failed >= LOST_LEAST:
                     self.distrust(source, "broken as a source")
             elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
                 self.trust(source)
