Double the bound only when it is what holds requests

Cause: requests held for a full cache doubled the bound to its top, and a lost zone's fills then went out unbounded.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -430,7 +430,7 @@
             if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
                 if self.bad > BAD_SHARE * self.bound:
                     self.bound = max(self.bound // 2, BOUND_LEAST)
-                elif any(self.depth):
+                elif any(self.depth) and self.fills >= GATE * self.bound:  # it is what holds them
                     self.bound = min(self.bound * 2, BOUND_MOST)
                 self.good = self.bad = 0
 
