Count fills that are called off late as slow for the bound

Cause: fills that hung until the request's deadline were called off by the front itself and told the bound nothing. It covers silent sources of any kind.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -422,11 +422,11 @@
         if attempt.fill:
             self.fills -= 1
             work, cls = self.work_of(attempt.req), attempt.req.cls
-            if e.ending in (Ending.FULL, Ending.TIMEOUT):
-                self.bad += 1
+            slow = e.waited > cls.on_time or e.elapsed > cls.on_time + cls.stretch * work
+            if e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache):
+                self.bad += 1  # so is one called off at its deadline
             elif e.ending is Ending.OK and not from_cache:
-                slow = e.waited > cls.on_time or e.elapsed > cls.on_time + cls.stretch * work
-                self.bad, self.good = self.bad + slow, self.good + (not slow)
+                self.good += 1
             if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
                 if self.bad > BAD_SHARE * self.bound:
                     self.bound = max(self.bound // 2, BOUND_LEAST)
