--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -395,7 +395,7 @@
             self.route(req)
 
     def learn(self, attempt: Attempt, e: io.AttemptEnded) -> None:
-        node, source, now = attempt.node, attempt.source, self.now
+        node, source = attempt.node, attempt.source
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
         if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
             node.failed += 1 if e.ending is Ending.RESET else LOST_LEAST
@@ -413,12 +413,12 @@
             if from_cache:
                 attempt.charge[1] = 0.0
         if from_cache:
-            remember(self.hits, (node.member.cache, attempt.req.key), now)
+            remember(self.hits, (node.member.cache, attempt.req.key), self.now)
             slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
             own = e.elapsed / max(slowed, 1.0)  # a full link is shared
-            self.samples[attempt.req.e.cls] += 1
-            gain = max(WORK_GUESS, 1 / self.samples[attempt.req.e.cls])
-            self.work[attempt.req.e.cls] += gain * (own - self.work[attempt.req.e.cls])
+            n = attempt.req.e.cls
+            self.samples[n] += 1
+            self.work[n] += max(WORK_GUESS, 1 / self.samples[n]) * (own - self.work[n])
         if attempt.fill:
             self.fills -= 1
             work, cls = self.work_of(attempt.req), attempt.req.cls
@@ -468,10 +468,9 @@
             late = 0
             for a in node.out.values():
                 limit = max(SECOND, a.req.cls.on_time + a.req.cls.stretch * self.work_of(a.req))
-                if a.at > self.now - limit or a.at < node.heard or a.req.begun:
-                    continue
-                # a source is silent only if the cache that asks it is not
-                late += a.node is node or (a.fill and a.node.heard > a.at)
+                if node.heard <= a.at <= self.now - limit and not a.req.begun:
+                    # a source is silent only if the cache that asks it is not
+                    late += a.node is node or (a.fill and a.node.heard > a.at)
             if late >= SILENT_LEAST:
                 self.distrust(node, "silent")
 
@@ -481,20 +480,18 @@
         self.out.append(io.SetTimer(int(wait), about << 3 | kind))
 
     def timer(self, kind: int, about: int) -> None:
-        req = self.requests.get(about)
-        if kind == DEADLINE and req is not None and not req.begun:
+        if kind == DEADLINE and (req := self.requests.get(about)) and not req.begun:
             self.close(req)
             self.out.append(io.Fail(about))
-        elif kind == HOLD and req is not None and req.held:
+        elif kind == HOLD and (req := self.requests.get(about)) and req.held:
             self.unhold(req)
             self.shed(req)
         elif kind == RELIST:
             self.out.append(io.Follow())
         elif kind == ROUND:
             self.awake = False
-            self.release()
             self.watch()
-            self.wake()
+            self.release()
 
     def wake(self) -> None:
         """Go round every release interval while anything is out or held."""
@@ -512,10 +509,8 @@
 
     def release(self) -> None:
         """Held requests leave by weighted shares; an empty tier lends its share, each keeps a floor."""
-        while any(self.depth):
-            heads = {t: q for t, queues in enumerate(self.held) if (q := self.head(queues))}
-            if not heads:
-                return
+        self.wake()
+        while heads := {t: q for t, queues in enumerate(self.held) if (q := self.head(queues))}:
             shares = {t: TIER_WEIGHTS[t] + len(q) // BOOST_EVERY for t, q in heads.items()}
             for t in heads:
                 self.credit[t] += shares[t]
