--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -242,3 +242,14 @@
         else:
             bench.end(sent, Ending.RESET, last=True)
     assert not any(node.suspect for node in bench.router.nodes.values())
+
+
+def test_new_instance_keeps_the_purges_that_it_is_told() -> None:
+    """A front that starts anew hears of the last purges before its first request."""
+    bench = Bench()
+    bench.give(io.ListNews(ListScope.REMEMBERED, fleet()))
+    bench.give(io.Purged(3, 0, 4 * SECOND))
+    (inside,) = attempts(bench.ask(1))
+    (outside,) = attempts(bench.ask(2, group=4))
+    assert isinstance(inside, io.Fetch) and inside.age == 4 * SECOND
+    assert isinstance(outside, io.Fetch) and outside.age == 0
