--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -29,17 +29,16 @@
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
 HOLD_PART = 0.25  # part of its wanted time that a request is held at most
-HOLD_SCAN = 32  # held objects looked through for one whose cache has room
+HOLD_SCAN = 16  # held objects looked through for one whose cache has room
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
 STANDSTILL = 100 * MS  # a gap between two rounds that shows this front itself as having stood still
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
 LOST_LEAST = 4  # attempts broken off in a row that make a loss; a faulty machine that serves most is of use
 SILENT_LEAST = 2  # overdue attempts that make a silence: one alone may be a large object
 COLD_SAFETY = 0.75  # part of a cold budget that is used: sizes are rough, and answers show work late
-MORE_ATTEMPTS = 3  # further attempts for a request
-EXTRA_SHARE, EXTRA_MOST = 0.2, 40.0  # further attempts earned by a first one, and the most saved up
+MORE_ATTEMPTS, EXTRA_SHARE, EXTRA_MOST = 3, 0.2, 40.0  # a request's further ones; earned by a first; saved up
 WORK_GUESS = 0.02  # weight of a new answer in the mean sending time of a class
-MEMORY_MOST = 50_000  # entries of any memory that requests fill; the oldest go first
+MEMORY_MOST = 20_000  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
 RAN_NOT = frozenset((Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT, Ending.MISS))  # prove it never ran
 DEADLINE, HOLD, ROUND, RELIST = range(4)  # kinds of timer, in the lowest bits of a token
@@ -105,6 +104,7 @@
         self.samples = [1] * len(settings.classes)
         self.nodes: dict[int, Node] = {}
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
+        self.ranks: dict[int, list[Node]] = {}
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
@@ -160,7 +160,7 @@
                     node.cold_at = max(node.cold_at, m.up_since)
                     node.suspect, node.trial, node.wait = False, None, 0
                 node.member, node.size = m, max(m.size, 0.01)
-        s, nodes = self.s, self.nodes.values()
+        s, nodes, self.ranks = self.s, self.nodes.values(), {}
         self.parents = [n for n in nodes if n.member.kind == s.parent_kind]
         self.origins = [n for n in nodes if n.member.kind == s.origin_kind]
         upper = (s.parent_kind, s.origin_kind)
@@ -209,12 +209,12 @@
 
     def rank(self, nodes: list[Node], key: int) -> list[Node]:
         """The nodes by a hash of the key, each first for a part of the keys that follows its size."""
-
-        def score(node: Node) -> tuple[float, int]:
-            u = (mix(key, node.member.cache) + 1) / 2**64
-            return math.log(u) / (node.size if self.s.sizes_compare else 1.0), node.member.cache
-
-        return sorted(nodes, key=score, reverse=True)
+        if key not in self.ranks:  # kept until the list changes: a held request is looked at often
+            weigh, self.ranks = self.s.sizes_compare, self.ranks if len(self.ranks) < MEMORY_MOST else {}
+            logs = {n: math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
+            order = sorted((u / (n.size if weigh else 1.0), n.member.cache) for n, u in logs.items())
+            self.ranks[key] = [self.nodes[cache] for _, cache in reversed(order)]
+        return self.ranks[key]
 
     def usable(self, node: Node, req: Request) -> bool:
         if node.member.state is not CacheState.READY or node in req.avoid:
@@ -237,9 +237,9 @@
 
     def place(self, req: Request) -> Node | None:
         """The edge cache by hash of object and part; of the first two the idler for a hot object."""
-        good = [n for n in self.rank(self.edges, req.key) if self.usable(n, req)]
+        good = list(islice((n for n in self.rank(self.edges, req.key) if self.usable(n, req)), 2))
         if len(good) > 1 and req.e.object in good[0].hot:
-            return min(good[:2], key=lambda n: len(n.out))
+            return min(good, key=lambda n: len(n.out))
         return good[0] if good else None
 
     def source(self, req: Request) -> Node | None:
@@ -285,7 +285,6 @@
         self.wake()
 
     def known(self, node: Node, req: Request) -> bool:
-        """Whether an answer showed this part as a hit at this cache lately: then it is no fill."""
         return self.now - self.hits.get((node.member.cache, req.key), self.now - HIT_MEMORY) < HIT_MEMORY
 
     def shed(self, req: Request) -> None:
@@ -495,7 +494,6 @@
             self.release()
 
     def wake(self) -> None:
-        """Go round every release interval while anything is out or held."""
         if not self.awake and (self.attempts or any(self.depth)):
             self.awake = True
             self.timer_in(RELEASE_EVERY, ROUND)
