Rounds only while requests are held; caches of other zones not kept

Also: one field fewer for trials; a suspect's next trial waits twice as long from when one is sent. Also covers long lists anywhere; might hurt where a standstill under 100 ms hides a silence.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -1,15 +1,14 @@
 """All decisions of quincepier. Its events, actions and settings are in quincepier/interface.py.
 
-A request for an object goes to the edge cache hashed from object and part, which fills a miss from the parent
-hashed from the object. Attempts that may become fills are held under a bound of this front's own and leave by
-tier; past the gate the lowest tier gets what the cache holds, or a refusal. See docs/design.md.
+A request goes to the edge cache hashed from object and part; a miss is filled from its object's parent.
+What may become a fill is held under a bound; past the gate the lowest tier is shed. See docs/design.md.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 from itertools import islice
 
@@ -31,7 +30,7 @@
 HOLD_PART = 0.25  # part of its wanted time that a request is held at most
 HOLD_SCAN = 16  # held objects looked through for one whose cache has room
 HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
-STANDSTILL = 100 * MS  # a gap between two rounds that shows this front itself as having stood still
+WATCH_EVERY = 100 * MS  # between looks for overdue attempts; one this much late shows our own standstill
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
 LOST_LEAST = 4  # attempts broken off in a row that make a loss; a faulty machine that serves most is of use
 SILENT_LEAST = 2  # overdue attempts that make a silence: one alone may be a large object
@@ -41,7 +40,8 @@
 MEMORY_MOST = 20_000  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
 RAN_NOT = frozenset((Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT, Ending.MISS))  # prove it never ran
-DEADLINE, HOLD, ROUND, RELIST = range(4)  # kinds of timer, in the lowest bits of a token
+SOURCE_FAULTS = (Note.SOURCE_REFUSED, Note.SOURCE_BROKEN, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
+DEADLINE, HOLD, ROUND, RELIST, WATCH = range(5)  # kinds of timer, in the lowest bits of a token
 
 
 def mix(*numbers: int) -> int:
@@ -69,7 +69,6 @@
         self.cold_at = member.up_since  # when it last started, as told or as guessed from its failing
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
-        self.trial: tuple[int, int] | None = None  # the one attempt that tries a suspect
         self.spent: deque[list[float]] = deque()  # [when, work sent], for the cold budget
         self.out: dict[tuple[int, int], Attempt] = {}
         self.count, self.count_since = dict[int, int](), 0  # requests by object since then
@@ -79,7 +78,7 @@
 class Attempt:
     def __init__(self, req: Request, no: int, at: int, node: Node, source: Node | None) -> None:
         self.req, self.no, self.at, self.node, self.source = req, no, at, node, source
-        self.fill = self.look = False
+        self.fill, self.look = False, False
         self.charge: list[float] = []  # what is booked to the source, given back where it filled nothing
 
 
@@ -113,7 +112,7 @@
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.extra, self.logs = EXTRA_MOST, 0
-        self.awake, self.watched = False, now
+        self.awake, self.watching, self.watched = False, False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
 
@@ -139,8 +138,6 @@
                 self.close(self.requests[request])
         return self.out
 
-    # The list of machines
-
     def listed(self, news: io.ListNews) -> None:
         if news.scope is ListScope.FAILED:
             self.timer_in(SECOND, RELIST)
@@ -149,24 +146,25 @@
         gone = {m.cache for m in news.members if m.state is CacheState.GONE}
         if news.scope in (ListScope.FULL, ListScope.REMEMBERED):
             gone |= self.nodes.keys() - {m.cache for m in news.members}
-        for cache in sorted(gone & self.nodes.keys()):
+        s, upper, lost = self.s, (self.s.parent_kind, self.s.origin_kind), sorted(gone & self.nodes.keys())
+        moved = bool(lost)
+        for cache in lost:
             self.rescue(self.nodes.pop(cache))
-        for m in news.members:
+        for m in news.members:  # caches of other zones are of no use here, and there may be very many
             node = self.nodes.get(m.cache)
-            if node is None and m.cache not in gone:
-                self.nodes[m.cache] = Node(m)
+            if node is None and m.cache not in gone and (m.kind in upper or m.zone == s.zone):
+                self.nodes[m.cache], moved = Node(m), True
             elif node is not None:
                 if m.up_since > node.member.up_since:
                     node.cold_at = max(node.cold_at, m.up_since)
-                    node.suspect, node.trial, node.wait = False, None, 0
+                    node.suspect = False
+                moved = moved or m.size != node.member.size
                 node.member, node.size = m, max(m.size, 0.01)
-        s, nodes, self.ranks = self.s, self.nodes.values(), {}
-        self.parents = [n for n in nodes if n.member.kind == s.parent_kind]
-        self.origins = [n for n in nodes if n.member.kind == s.origin_kind]
-        upper = (s.parent_kind, s.origin_kind)
-        self.edges = [n for n in nodes if n.member.kind not in upper and n.member.zone == s.zone]
-
-    # Requests come and go
+        if moved:
+            self.ranks, nodes = {}, self.nodes.values()
+            self.parents = [n for n in nodes if n.member.kind == s.parent_kind]
+            self.origins = [n for n in nodes if n.member.kind == s.origin_kind]
+            self.edges = [n for n in nodes if n.member.kind not in upper]
 
     def came(self, e: io.RequestCame) -> None:
         tier = self.tiers[e.cls]
@@ -177,11 +175,11 @@
             self.quota[e.tenant] = (max(saved - 1, 0.0), self.now)
         req = self.requests[e.request] = Request(e, self.s.classes[e.cls], tier, self.now)
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
-        if e.time_left <= self.s.step:  # it waited for this front, which stood still: no time is left to try
+        if e.time_left > self.s.step:
+            self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
+            self.route(req)
+        else:  # it waited for this front, which stood still: no time is left to try
             self.give_up(req)
-            return
-        self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
-        self.route(req)
 
     def close(self, req: Request) -> None:
         """Forget a request that has its final answer; what is still out for it is called off."""
@@ -211,16 +209,14 @@
         """The nodes by a hash of the key, each first for a part of the keys that follows its size."""
         if key not in self.ranks:  # kept until the list changes: a held request is looked at often
             weigh, self.ranks = self.s.sizes_compare, self.ranks if len(self.ranks) < MEMORY_MOST else {}
-            logs = {n: math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
-            order = sorted((u / (n.size if weigh else 1.0), n.member.cache) for n, u in logs.items())
-            self.ranks[key] = [self.nodes[cache] for _, cache in reversed(order)]
+            draws = {n: math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
+            self.ranks[key] = sorted(nodes, key=lambda n: -draws[n] / (n.size if weigh else 1.0))
         return self.ranks[key]
 
     def usable(self, node: Node, req: Request) -> bool:
-        if node.member.state is not CacheState.READY or node in req.avoid:
-            return False
-        on_trial = node.trial is None and self.now >= node.trial_at
-        return (on_trial or not node.suspect) and self.room(node, self.work_of(req))
+        ready = node.member.state is CacheState.READY and node not in req.avoid
+        on_trial = self.now >= node.trial_at
+        return ready and (on_trial or not node.suspect) and self.room(node, self.work_of(req))
 
     def room(self, node: Node, work: float) -> bool:
         """Whether a machine that started lately may be asked for so much more (rule four)."""
@@ -266,10 +262,9 @@
 
     def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
-        if not self.s.sizes_compare or node.member.kind in (self.s.parent_kind, self.s.origin_kind):
-            return False
         stands = CROWD * (req.cls.on_time / self.work_of(req) + req.cls.stretch)
-        return len(node.out) + 1 > max(stands * node.size / self.sharers(node), 2)
+        limit = max(stands * node.size / self.sharers(node), 2)
+        return self.s.sizes_compare and len(node.out) + 1 > limit
 
     def sharers(self, node: Node) -> int:
         zones, m = self.s.fronts_by_zone, node.member
@@ -280,8 +275,7 @@
         self.held[req.tier].setdefault(req.key, deque()).append(req)
         self.depth[req.tier] += 1
         req.held = True
-        aim = req.cls.on_time + req.cls.stretch * self.work_of(req)
-        self.timer_in(HOLD_PART * aim, HOLD, req.e.request)
+        self.timer_in(HOLD_PART * self.aim(req), HOLD, req.e.request)
         self.wake()
 
     def known(self, node: Node, req: Request) -> bool:
@@ -306,7 +300,7 @@
         return age
 
     def send(self, req: Request, node: Node, source: Node | None) -> None:
-        e, now, work = req.e, self.now, self.work_of(req)
+        e, now = req.e, self.now
         if req.sent >= self.s.attempts or not self.harmless(req, node) or req.deadline - now <= self.s.step:
             self.give_up(req)
             return
@@ -318,13 +312,14 @@
         self.fills += attempt.fill
         self.seen(node, e.object)
         for machine in filter(None, (node, attempt.source)):
-            attempt.charge = [now, work]  # the source's, where there is one
+            attempt.charge = [now, self.work_of(req)]  # the source's, where there is one
             machine.spent.append(attempt.charge)
             while machine.spent[0][0] < now - self.s.cold_window:
                 machine.spent.popleft()
             machine.out[e.request, attempt.no] = attempt
-            if machine.suspect:
-                machine.trial = (e.request, attempt.no)
+            if machine.suspect:  # its trial; the next one waits twice as long
+                machine.wait = min(2 * machine.wait, SUSPECT_MOST)
+                machine.trial_at = now + machine.wait
         if source is None:
             self.out.append(io.Ask(e.request, node.member.cache, req.deadline - now))
         else:
@@ -352,13 +347,14 @@
             node.count, node.count_since = {}, self.now
         node.count[obj] = node.count.get(obj, 0) + 1
 
+    def aim(self, req: Request) -> float:
+        return req.cls.on_time + req.cls.stretch * self.work_of(req)
+
     def work_of(self, req: Request) -> float:
         """Sending time of a request: the class's mean, or its own where sizes are told and it is larger."""
         own = req.e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
         return max(self.work[req.e.cls], own, MS)
 
-    # Answers
-
     def ended(self, e: io.AttemptEnded) -> None:
         attempt = self.attempts.pop((e.request, e.attempt), None)
         if attempt is None:
@@ -367,7 +363,6 @@
         req.open.pop(e.attempt, None)
         for node in filter(None, (attempt.node, attempt.source)):
             node.out.pop((e.request, e.attempt), None)
-            node.trial = None if node.trial == (e.request, e.attempt) else node.trial
         self.learn(attempt, e)
         if e.ending not in RAN_NOT and (req.first_ran is None or attempt.at < req.first_ran[0]):
             req.first_ran = (attempt.at, attempt.node.member)
@@ -381,12 +376,9 @@
     def again(self, req: Request, attempt: Attempt, e: io.AttemptEnded) -> None:
         """After an attempt that served nothing: another one, while it can help and what ran allows it."""
         node, source = attempt.node, attempt.source
-        if e.note in (Note.SOURCE_REFUSED, Note.SOURCE_BROKEN, Note.SOURCE_LACKS, Note.ORIGIN_FAILED):
-            req.avoid += [source or node]
-        else:
-            req.avoid += [node]
-            if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
-                req.avoid += [source]  # not told whose fault it was: change both
+        req.avoid += [source or node] if e.note in SOURCE_FAULTS else [node]
+        if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
+            req.avoid += [source]  # not told whose fault it was: change both
         useless = attempt.look and e.ending is Ending.MISS or req.deadline - self.now < self.work[req.e.cls]
         if useless or self.extra < 1 or req.sent > MORE_ATTEMPTS:
             self.give_up(req)
@@ -421,8 +413,7 @@
             self.work[n] += max(WORK_GUESS, 1 / self.samples[n]) * (own - self.work[n])
         if attempt.fill:
             self.fills -= 1
-            work, cls = self.work_of(attempt.req), attempt.req.cls
-            slow = e.waited > cls.on_time or e.elapsed > cls.on_time + cls.stretch * work
+            slow = e.waited > attempt.req.cls.on_time or e.elapsed > self.aim(attempt.req)
             if e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache):
                 self.bad += 1  # so is one called off at its deadline
             elif e.ending is Ending.OK and not from_cache:
@@ -434,24 +425,21 @@
                     self.bound = min(self.bound * 2, BOUND_MOST)
                 self.good = self.bad = 0
 
-    # Health
-
     def trust(self, node: Node) -> None:
         node.heard, node.failed = self.now, 0
         if node.suspect:
-            if node.wait > SUSPECT_FOR:  # a trial failed: it was away and starts anew, told or not
+            if node.wait > 2 * SUSPECT_FOR:  # a trial failed: it was away and starts anew, told or not
                 node.cold_at = self.now
-            node.suspect, node.wait = False, 0
+            node.suspect = False
             self.log(f"machine {node.member.cache} answers again")
 
     def distrust(self, node: Node, why: str) -> None:
         """Set a machine aside; one real request tries it after a wait, so that it comes back by itself."""
-        if node.member.kind == self.s.origin_kind or node.suspect and self.now < node.trial_at:
-            return  # of the origin there is one
+        if node.member.kind == self.s.origin_kind:
+            return  # there is one
         if not node.suspect:
             self.log(f"machine {node.member.cache} set aside: {why}")
-        node.wait = min(max(2 * node.wait, SUSPECT_FOR), SUSPECT_MOST)
-        node.suspect, node.trial_at = True, self.now + node.wait
+            node.suspect, node.wait, node.trial_at = True, SUSPECT_FOR, self.now + SUSPECT_FOR
         self.rescue(node)
 
     def rescue(self, node: Node) -> None:
@@ -461,18 +449,20 @@
         self.call_off(a for a in list(node.out.values()) if a.req.cls.effect is Effect.SAFE)
 
     def watch(self) -> None:
-        since, self.watched = self.now - self.watched, self.now
-        if since > STANDSTILL:  # this front stood still: the answers that it missed are still to come
-            return
-        for node in list(self.nodes.values()):
-            late = 0
-            for a in node.out.values():
-                limit = max(SECOND, a.req.cls.on_time + a.req.cls.stretch * self.work_of(a.req))
-                if node.heard <= a.at <= self.now - limit and not a.req.begun:
-                    # a source is silent only if the cache that asks it is not
-                    late += a.node is node or (a.fill and a.node.heard > a.at)
-            if late >= SILENT_LEAST:
+        late, self.watching = Counter[Node](), False
+        stood_still = self.now - self.watched > WATCH_EVERY  # the answers that it missed are still to come
+        for a in self.attempts.values():  # the oldest first
+            if a.at > self.now - SECOND or stood_still:
+                break
+            if a.at <= self.now - self.aim(a.req) and not a.req.begun:
+                # a source is silent only if the cache that asks it is not
+                silent = a.node if a.node.heard <= a.at else a.source if a.fill else None
+                if silent is not None and silent.heard <= a.at:
+                    late[silent] += 1
+        for node, count in late.items():
+            if count >= SILENT_LEAST or node.suspect:
                 self.distrust(node, "silent")
+        self.wake()
 
     # Timers, held requests, logs
 
@@ -490,13 +480,17 @@
             self.out.append(io.Follow())
         elif kind == ROUND:
             self.awake = False
-            self.watch()
             self.release()
+        elif kind == WATCH:
+            self.watch()
 
     def wake(self) -> None:
-        if not self.awake and (self.attempts or any(self.depth)):
+        if not self.awake and any(self.depth):
             self.awake = True
             self.timer_in(RELEASE_EVERY, ROUND)
+        if not self.watching and self.attempts:
+            self.watching, self.watched = True, self.now + WATCH_EVERY
+            self.timer_in(WATCH_EVERY, WATCH)
 
     def unhold(self, req: Request) -> None:
         if req.held:
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -8,6 +8,7 @@
 
 from quincepier import interface as io
 from quincepier.interface import CacheState, Effect, Ending, Group, ListScope, Note
+from quincepier.policy import WATCH
 from tests.rig import (
     CACHES,
     MS,
@@ -226,7 +227,7 @@
     bench = Bench()
     for n in range(12):
         bench.ask(n, obj=n)
-    due = min(t for t in bench.timers if t[1] & 7 == 2)
+    due = min(t for t in bench.timers if t[1] & 7 == WATCH)
     bench.now += 3 * SECOND
     bench.give(io.TimerDue(due[1]))
     assert not any(node.suspect for node in bench.router.nodes.values())
@@ -253,3 +254,24 @@
     (outside,) = attempts(bench.ask(2, group=4))
     assert isinstance(inside, io.Fetch) and inside.age == 4 * SECOND
     assert isinstance(outside, io.Fetch) and outside.age == 0
+
+
+def test_caches_of_other_zones_cost_nothing() -> None:
+    """A list of hundreds of foreign caches leaves no machine, and their changes make no hash order anew."""
+    bench = Bench()
+    known, sent = len(bench.router.nodes), attempts(bench.ask(1))
+    bench.end(sent[0], Ending.OK, Note.HIT)
+    ranks = dict(bench.router.ranks)
+    far = tuple(replace(member(1000 + n), zone=7) for n in range(300))
+    bench.give(io.ListNews(ListScope.CHANGES, far))
+    bench.give(io.ListNews(ListScope.CHANGES, tuple(replace(m, state=CacheState.GONE) for m in far)))
+    assert len(bench.router.nodes) == known and bench.router.ranks == ranks != {}
+
+
+def test_no_rounds_while_nothing_is_held() -> None:
+    """A round every 10 ms at each of hundreds of fronts cost more than all requests together."""
+    bench = Bench()
+    bench.ask(1)
+    before = len(bench.log)
+    bench.wait(SECOND)
+    assert sum(isinstance(a, io.SetTimer) for _, a in bench.log[before:]) <= 10
