--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -34,7 +34,8 @@
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
 LOST_LEAST = 4  # attempts broken off in a row that make a loss; a faulty machine that serves most is of use
 SILENT_LEAST = 2  # overdue attempts that make a silence: one alone may be a large object
-COLD_SAFETY = 0.75  # part of a cold budget that is used: sizes are rough, and answers show work late
+COLD_SAFETY = 0.6  # part of a cold budget that is earned: sizes are rough, and each front may overdraw
+COLD_BURST = 0.25  # part of a window's earnings that may be saved up
 MORE_ATTEMPTS, EXTRA_SHARE, EXTRA_MOST = 3, 0.2, 40.0  # a request's further ones; earned by a first; saved up
 WORK_GUESS = 0.02  # weight of a new answer in the mean sending time of a class
 MEMORY_MOST = 20_000  # entries of any memory that requests fill; the oldest go first
@@ -69,7 +70,7 @@
         self.cold_at = member.up_since  # when it last started, as told or as guessed from its failing
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
-        self.spent: deque[list[float]] = deque()  # [when, work sent], for the cold budget
+        self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
         self.out: dict[tuple[int, int], Attempt] = {}
         self.count, self.count_since = dict[int, int](), 0  # requests by object since then
         self.hot: set[int] = set()  # objects that drew too large a part of the span before
@@ -78,8 +79,7 @@
 class Attempt:
     def __init__(self, req: Request, no: int, at: int, node: Node, source: Node | None) -> None:
         self.req, self.no, self.at, self.node, self.source = req, no, at, node, source
-        self.fill, self.look = False, False
-        self.charge: list[float] = []  # what is booked to the source, given back where it filled nothing
+        self.fill, self.look, self.work = False, False, 0.0  # work as booked to cold machines
 
 
 class Request:
@@ -215,11 +215,12 @@
 
     def usable(self, node: Node, req: Request) -> bool:
         ready = node.member.state is CacheState.READY and node not in req.avoid
-        on_trial = self.now >= node.trial_at
-        return ready and (on_trial or not node.suspect) and self.room(node, self.work_of(req))
+        return ready and (not node.suspect or self.now >= node.trial_at) and self.room(node)
 
-    def room(self, node: Node, work: float) -> bool:
-        """Whether a machine that started lately may be asked for so much more (rule four)."""
+    def room(self, node: Node) -> bool:
+        """Whether a machine that started lately may be asked for more (rule four): credit earned by time.
+
+        A share may be less than one request: it is overdrawn by one, from a random debt, for turns."""
         s, kind = self.s, node.member.kind
         least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
         if kind == s.parent_kind:
@@ -228,8 +229,12 @@
         if node.cold_at == 0 or age >= warm or kind == s.origin_kind:
             return True
         share = least + (1 - least) * max(age, 0) / max(warm, 1)
-        budget = multiple * share * node.size * s.cold_window * COLD_SAFETY / self.sharers(node)
-        return sum(w for at, w in node.spent if at >= self.now - s.cold_window) + work <= budget
+        rate = COLD_SAFETY * multiple * share * node.size / self.sharers(node)
+        if node.paid < node.cold_at:
+            node.paid, node.credit = self.now, -self.random.random() * max(self.work)
+        saved = node.credit + rate * (self.now - node.paid)
+        node.paid, node.credit = self.now, min(saved, COLD_BURST * rate * s.cold_window)
+        return node.credit >= 0
 
     def place(self, req: Request) -> Node | None:
         """The edge cache by hash of object and part; of the first two the idler for a hot object."""
@@ -307,15 +312,13 @@
         attempt = Attempt(req, req.sent, now, node, source if source is not node else None)
         attempt.look = look = source is node and node in self.edges  # a cache as its own source fills nothing
         attempt.fill = not (look or req.cls.never_kept or self.known(node, req))
+        attempt.work = self.work[e.cls]
         req.open[req.sent] = self.attempts[e.request, req.sent] = attempt
         req.sent += 1
         self.fills += attempt.fill
         self.seen(node, e.object)
         for machine in filter(None, (node, attempt.source)):
-            attempt.charge = [now, self.work_of(req)]  # the source's, where there is one
-            machine.spent.append(attempt.charge)
-            while machine.spent[0][0] < now - self.s.cold_window:
-                machine.spent.popleft()
+            machine.credit -= attempt.work
             machine.out[e.request, attempt.no] = attempt
             if machine.suspect:  # its trial; the next one waits twice as long
                 machine.wait = min(2 * machine.wait, SUSPECT_MOST)
@@ -403,7 +406,7 @@
             elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
                 self.trust(source)
             if from_cache:
-                attempt.charge[1] = 0.0
+                source.credit += attempt.work
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now)
             slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
--- a/tests/test_policy_mechanism.py
+++ b/tests/test_policy_mechanism.py
@@ -222,6 +222,7 @@
         for sent in attempts(bench.ask(n, obj=n)):
             taken += sent.cache == 104
             bench.end(sent, Ending.OK, Note.HIT, elapsed=500 * MS)
+        bench.wait(10 * MS)
     assert 0 < taken < 60
 
 
