--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -1,7 +1,6 @@
 """All decisions of quincepier. Its events, actions and settings are in quincepier/interface.py.
 
-A request goes to the edge cache hashed from object and part; a miss is filled from its object's parent.
-What may become a fill is held under a bound; past the gate the lowest tier is shed. See docs/design.md.
+Edge caches are hashed by object and part, parents by object; fills are held under a bound (docs/design.md).
 """
 
 from __future__ import annotations
@@ -24,6 +23,7 @@
 BOUND_START = 16  # fills in flight at the start (design)
 BOUND_LEAST, BOUND_MOST = 8, 256  # a halved bound still lets each tier go on; a doubled one stays finite
 BAD_SHARE = 0.25  # the bound steps after a bound's worth of fills: down if more than this part went badly
+REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 4 * SECOND, 0.75  # between fills, doubled by a refused one
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
@@ -109,6 +109,7 @@
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
         self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
+        self.rest, self.fill_at = 0.0, now  # between fills, while they are refused; when the next may leave
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.extra, self.logs = EXTRA_MOST, 0
@@ -146,9 +147,8 @@
         gone = {m.cache for m in news.members if m.state is CacheState.GONE}
         if news.scope in (ListScope.FULL, ListScope.REMEMBERED):
             gone |= self.nodes.keys() - {m.cache for m in news.members}
-        s, upper, lost = self.s, (self.s.parent_kind, self.s.origin_kind), sorted(gone & self.nodes.keys())
-        moved = bool(lost)
-        for cache in lost:
+        s, upper, moved = self.s, (self.s.parent_kind, self.s.origin_kind), bool(gone & self.nodes.keys())
+        for cache in sorted(gone & self.nodes.keys()):
             self.rescue(self.nodes.pop(cache))
         for m in news.members:  # caches of other zones are of no use here, and there may be very many
             node = self.nodes.get(m.cache)
@@ -195,9 +195,8 @@
     def give_up(self, req: Request) -> None:
         """The final answer, at once: a refusal where that is known to be harmless, else a failure."""
         cls, untried = req.cls, req.first_ran is None and not req.open
-        everywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
         self.close(req)
-        if untried or everywhere or cls.effect is Effect.SAFE:  # spread: not all back at once
+        if untried or cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL):
             advice = int(self.random.uniform(0.8, 1) * self.s.max_retry_after) if self.s.retry_after else 0
             self.out.append(io.Refuse(req.e.request, advice))
         else:
@@ -252,14 +251,14 @@
         """Send a request, hold it, or answer it as past the gate. What leaves a hold is placed anew."""
         kept, node, source = not req.cls.never_kept, self.place(req), self.source(req)
         origin = next((n for n in self.origins if self.s.direct and self.usable(n, req)), None)
+        waits, fill = kept and not leaving, node is None or not self.known(node, req)
+        self.unhold(req)
         if origin is not None and not kept:  # classes never kept pass untouched
             self.send(req, origin, None)
-        elif kept and not leaving and node is not None and self.crowded(node, req):
+        elif waits and fill and req.tier == 2 and self.fills >= GATE * self.bound:
+            self.shed(req)
+        elif waits and (fill and (self.full() or any(self.depth)) or (node and self.crowded(node, req))):
             self.hold(req)
-        elif kept and not leaving and not (node is not None and self.known(node, req)):
-            lowest_past_gate = req.tier == 2 and self.fills >= GATE * self.bound
-            must_wait = self.fills >= self.bound or any(self.depth)
-            (self.shed if lowest_past_gate else self.hold if must_wait else self.leave)(req)
         elif target := node or (source if self.s.direct else None):  # no cache to ask: straight to the parent
             self.send(req, target, source or target)
         else:
@@ -272,9 +271,8 @@
         return self.s.sizes_compare and len(node.out) + 1 > limit
 
     def sharers(self, node: Node) -> int:
-        zones, m = self.s.fronts_by_zone, node.member
-        all_reach = m.kind == self.s.parent_kind or m.zone >= len(zones)
-        return max(self.s.fronts if all_reach else zones[m.zone], 1)
+        zones, m = self.s.fronts_by_zone, node.member  # parents stand in hubs, and all fronts reach them
+        return (m.zone < len(zones) and zones[m.zone]) or max(self.s.fronts, 1)
 
     def hold(self, req: Request) -> None:
         self.held[req.tier].setdefault(req.key, deque()).append(req)
@@ -283,6 +281,9 @@
         self.timer_in(HOLD_PART * self.aim(req), HOLD, req.e.request)
         self.wake()
 
+    def full(self) -> bool:
+        return self.fills >= self.bound or self.now < self.fill_at
+
     def known(self, node: Node, req: Request) -> bool:
         return self.now - self.hits.get((node.member.cache, req.key), self.now - HIT_MEMORY) < HIT_MEMORY
 
@@ -316,6 +317,7 @@
         req.open[req.sent] = self.attempts[e.request, req.sent] = attempt
         req.sent += 1
         self.fills += attempt.fill
+        self.fill_at = now + int(self.rest) if attempt.fill else self.fill_at
         self.seen(node, e.object)
         for machine in filter(None, (node, attempt.source)):
             machine.credit -= attempt.work
@@ -416,6 +418,11 @@
             self.work[n] += max(WORK_GUESS, 1 / self.samples[n]) * (own - self.work[n])
         if attempt.fill:
             self.fills -= 1
+            if e.ending is Ending.FULL and e.note not in (Note.SOURCE_BROKEN, Note.SOURCE_LACKS):  # at once
+                self.rest = min(max(2 * self.rest, REST_LEAST), REST_MOST)
+                self.fill_at = self.now + int(self.random.uniform(0.5, 1.5) * self.rest)
+            elif e.ending is Ending.OK and not from_cache:
+                self.rest *= REST_EASE
             slow = e.waited > attempt.req.cls.on_time or e.elapsed > self.aim(attempt.req)
             if e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache):
                 self.bad += 1  # so is one called off at its deadline
@@ -458,7 +465,7 @@
             if a.at > self.now - SECOND or stood_still:
                 break
             if a.at <= self.now - self.aim(a.req) and not a.req.begun:
-                # a source is silent only if the cache that asks it is not
+                # a source is silent only if its asker is not
                 silent = a.node if a.node.heard <= a.at else a.source if a.fill else None
                 if silent is not None and silent.heard <= a.at:
                     late[silent] += 1
@@ -467,8 +474,6 @@
                 self.distrust(node, "silent")
         self.wake()
 
-    # Timers, held requests, logs
-
     def timer_in(self, wait: float, kind: int, about: int = 0) -> None:
         self.out.append(io.SetTimer(int(wait), about << 3 | kind))
 
@@ -514,11 +519,7 @@
             tier = starved[0] if starved else max(heads, key=lambda t: self.credit[t])
             self.credit[tier] -= sum(shares.values())
             self.released[tier] = self.now
-            self.leave(heads[tier][0])
-
-    def leave(self, req: Request) -> None:
-        self.unhold(req)
-        self.route(req, True)
+            self.route(heads[tier][0], True)
 
     def head(self, queues: OrderedDict[int, deque[Request]]) -> deque[Request] | None:
         """The held object most waited for of those that may leave now, else the first of them."""
@@ -526,9 +527,8 @@
         for queue in islice(queues.values(), HOLD_SCAN):
             node = self.place(queue[0])
             full = node is not None and self.crowded(node, queue[0])
-            if full or self.fills >= self.bound and (node is None or not self.known(node, queue[0])):
-                continue
-            if best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY:
+            may = not full and (not self.full() or node is not None and self.known(node, queue[0]))
+            if may and (best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY):
                 best = queue
         return best
 
--- a/tests/test_policy_properties.py
+++ b/tests/test_policy_properties.py
@@ -195,7 +195,9 @@
 
     def finish(self) -> None:
         while self.out:
-            self.end(0, Ending.CANCELLED, Note.NONE)
+            while self.out:
+                self.end(0, Ending.CANCELLED, Note.NONE)
+            self.advance(20 * SECOND)  # in which held requests may leave
         self.advance(20 * SECOND)
         assert set(self.owed) <= self.begun, "some request never got its answer"
         router = self.router
