Pace of a machine from its hits and reports: steer past a slow one, hold where all are slow

Covers ageing, slow and overfull machines alike; the hot-object window now counts requests, not seconds. Might hurt where sizes are untold and vary much.

--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -94,6 +94,7 @@
     direct: bool
     joins: bool
     siblings: bool
+    reports: tuple[str, ...]  # what the values of a load report are, such as "in flight", in their order
     client_kb_per_s: float
     sizes_compare: bool
     purge_settles: int
--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -27,9 +27,10 @@
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
-HOLD_PART = 0.25  # part of its wanted time that a request is held at most
-HOLD_SCAN = 16  # held objects looked through for one whose cache has room
-HOT_SHARE, HOT_SPAN, HOT_LEAST = 0.25, 4 * SECOND, 24  # widening (design); a share of very few says nothing
+PACE_NEW, PACE_FADE = 0.3, SECOND  # weight of a sign of how slow a machine is; it fades by half in
+PACE_GUESS = 0.05  # its weight where the size of what was sent is not told, and rests on the mean
+HOLD_PART, HOLD_SCAN = 0.25, 16  # longest hold, as part of the wanted time; held objects looked through
+HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
 WATCH_EVERY = 100 * MS  # between looks for overdue attempts; one this much late shows our own standstill
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
 LOST_LEAST = 4  # attempts broken off in a row that make a loss; a faulty machine that serves most is of use
@@ -37,7 +38,7 @@
 COLD_SAFETY = 0.6  # part of a cold budget that is earned: sizes are rough, and each front may overdraw
 COLD_BURST = 0.25  # part of a window's earnings that may be saved up
 MORE_ATTEMPTS, EXTRA_SHARE, EXTRA_MOST = 3, 0.2, 40.0  # a request's further ones; earned by a first; saved up
-WORK_GUESS = 0.02  # weight of a new answer in the mean sending time of a class
+WORK_NEW = 0.05  # weight of a new answer in the mean sending time of a class
 MEMORY_MOST = 20_000  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
 RAN_NOT = frozenset((Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT, Ending.MISS))  # prove it never ran
@@ -63,17 +64,15 @@
 
 
 class Node:
-    """What this front knows of one machine on its list."""
-
     def __init__(self, member: io.Member) -> None:
         self.member, self.size = member, max(member.size, 0.01)
         self.cold_at = member.up_since  # when it last started, as told or as guessed from its failing
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
         self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
+        self.slowed, self.slowed_at = 1.0, 0  # how many times slower than alone it was seen to send, and when
         self.out: dict[tuple[int, int], Attempt] = {}
-        self.count, self.count_since = dict[int, int](), 0  # requests by object since then
-        self.hot: set[int] = set()  # objects that drew too large a part of the span before
+        self.recent: deque[int] = deque(maxlen=HOT_OF)  # objects last asked for
 
 
 class Attempt:
@@ -100,7 +99,6 @@
         place = {worth: math.ceil(2 * n / max(len(worths) - 1, 1)) for n, worth in enumerate(worths)}
         self.tiers = [place.get(c.worth, 0) for c in settings.classes]
         self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
-        self.samples = [1] * len(settings.classes)
         self.nodes: dict[int, Node] = {}
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
         self.ranks: dict[int, list[Node]] = {}
@@ -112,8 +110,8 @@
         self.rest, self.fill_at = 0.0, now  # between fills, while they are refused; when the next may leave
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
-        self.extra, self.logs = EXTRA_MOST, 0
-        self.awake, self.watching, self.watched = False, False, now
+        self.in_flight = settings.reports.index("in flight") if "in flight" in settings.reports else 99
+        self.extra, self.logs, self.awake, self.watching, self.watched = EXTRA_MOST, 0, False, False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
 
@@ -202,8 +200,6 @@
         else:
             self.out.append(io.Fail(req.e.request))
 
-    # Where a request goes
-
     def rank(self, nodes: list[Node], key: int) -> list[Node]:
         """The nodes by a hash of the key, each first for a part of the keys that follows its size."""
         if key not in self.ranks:  # kept until the list changes: a held request is looked at often
@@ -238,8 +234,10 @@
     def place(self, req: Request) -> Node | None:
         """The edge cache by hash of object and part; of the first two the idler for a hot object."""
         good = list(islice((n for n in self.rank(self.edges, req.key) if self.usable(n, req)), 2))
-        if len(good) > 1 and req.e.object in good[0].hot:
+        if len(good) > 1 and good[0].recent.count(req.e.object) > HOT_SHARE * HOT_OF:
             return min(good, key=lambda n: len(n.out))
+        if len(good) > 1 and self.pace(good[0]) > max(self.stands(req), 2 * self.pace(good[1])):
+            return good[1]  # the first would be late: overloaded alone, or growing slow
         return good[0] if good else None
 
     def source(self, req: Request) -> Node | None:
@@ -266,9 +264,16 @@
 
     def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
-        stands = CROWD * (req.cls.on_time / self.work_of(req) + req.cls.stretch)
-        limit = max(stands * node.size / self.sharers(node), 2)
-        return self.s.sizes_compare and len(node.out) + 1 > limit
+        limit = max(self.stands(req) * node.size / self.sharers(node), 2)
+        return self.s.sizes_compare and (len(node.out) + 1 > limit or self.pace(node) > self.stands(req))
+
+    def stands(self, req: Request) -> float:
+        """How many times slower than alone a machine may send, for a request to be well on time."""
+        return CROWD * self.aim(req) / self.work_of(req)
+
+    def pace(self, node: Node) -> float:
+        """How many times slower than alone a machine sends, by its last hits and by what it holds."""
+        return 1 + (node.slowed - 1) * math.exp2((node.slowed_at - self.now) / PACE_FADE)
 
     def sharers(self, node: Node) -> int:
         zones, m = self.s.fronts_by_zone, node.member  # parents stand in hubs, and all fronts reach them
@@ -318,7 +323,7 @@
         req.sent += 1
         self.fills += attempt.fill
         self.fill_at = now + int(self.rest) if attempt.fill else self.fill_at
-        self.seen(node, e.object)
+        node.recent.append(e.object)
         for machine in filter(None, (node, attempt.source)):
             machine.credit -= attempt.work
             machine.out[e.request, attempt.no] = attempt
@@ -328,8 +333,8 @@
         if source is None:
             self.out.append(io.Ask(e.request, node.member.cache, req.deadline - now))
         else:
-            join, renew = self.s.joins and not look, req.cls.fresh > 0 and not look
-            age, to, by = self.oldest(req, look), node.member.cache, source.member.cache
+            to, by, fills, age = node.member.cache, source.member.cache, not look, self.oldest(req, look)
+            join, renew = self.s.joins and fills, req.cls.fresh > 0 and fills
             self.out.append(io.Fetch(e.request, to, req.deadline - now, by, 1, age, join, renew, False))
         self.wake()
 
@@ -345,20 +350,15 @@
         near = here.zone == first.zone if group is Group.ZONE else here.cell == first.cell
         return (near or group is Group.ALL) and self.now - sent < req.cls.window
 
-    def seen(self, node: Node, obj: int) -> None:
-        if self.now - node.count_since > HOT_SPAN:
-            total = sum(node.count.values())
-            node.hot = {o for o, c in node.count.items() if c > HOT_SHARE * total and total >= HOT_LEAST}
-            node.count, node.count_since = {}, self.now
-        node.count[obj] = node.count.get(obj, 0) + 1
-
     def aim(self, req: Request) -> float:
         return req.cls.on_time + req.cls.stretch * self.work_of(req)
 
     def work_of(self, req: Request) -> float:
-        """Sending time of a request: the class's mean, or its own where sizes are told and it is larger."""
-        own = req.e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
-        return max(self.work[req.e.cls], own, MS)
+        """Sending time of a request: its own where sizes are told, else the class's mean."""
+        return max(self.told(req) or self.work[req.e.cls], MS)
+
+    def told(self, req: Request) -> float:
+        return req.e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
 
     def ended(self, e: io.AttemptEnded) -> None:
         attempt = self.attempts.pop((e.request, e.attempt), None)
@@ -395,27 +395,26 @@
         node, source = attempt.node, attempt.source
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
         if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
-            node.failed += 1 if e.ending is Ending.RESET else LOST_LEAST
-            if node.failed >= LOST_LEAST:
-                self.distrust(node, "lost")
+            self.distrust(node, "lost", 1 if e.ending is Ending.RESET else LOST_LEAST)
         elif e.ending in (Ending.OK, Ending.ERROR, Ending.FULL, Ending.MISS):
             self.trust(node)
         if source is not None:
             if e.note in (Note.SOURCE_BROKEN, Note.SOURCE_REFUSED):  # a dead process refuses, a full one too
-                source.failed += LOST_LEAST if e.note is Note.SOURCE_BROKEN else LOST_LEAST / 2
-                if source.failed >= LOST_LEAST:
-                    self.distrust(source, "broken as a source")
+                points = LOST_LEAST if e.note is Note.SOURCE_BROKEN else LOST_LEAST / 2
+                self.distrust(source, "broken as a source", points)
             elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
                 self.trust(source)
             if from_cache:
                 source.credit += attempt.work
+        told = e.report[self.in_flight] / node.size if self.in_flight < len(e.report) else 0.0
+        if (seen := max(told, e.elapsed / self.work_of(attempt.req) if from_cache else 0.0)) > 0:
+            new = PACE_NEW if told or self.told(attempt.req) else PACE_GUESS
+            node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now)
             slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
-            own = e.elapsed / max(slowed, 1.0)  # a full link is shared
-            n = attempt.req.e.cls
-            self.samples[n] += 1
-            self.work[n] += max(WORK_GUESS, 1 / self.samples[n]) * (own - self.work[n])
+            own = self.told(attempt.req) or e.elapsed / max(slowed, 1.0)  # a full link is shared
+            self.work[attempt.req.e.cls] += WORK_NEW * (own - self.work[attempt.req.e.cls])
         if attempt.fill:
             self.fills -= 1
             if e.ending is Ending.FULL and e.note not in (Note.SOURCE_BROKEN, Note.SOURCE_LACKS):  # at once
@@ -443,10 +442,11 @@
             node.suspect = False
             self.log(f"machine {node.member.cache} answers again")
 
-    def distrust(self, node: Node, why: str) -> None:
+    def distrust(self, node: Node, why: str, points: float = LOST_LEAST) -> None:
         """Set a machine aside; one real request tries it after a wait, so that it comes back by itself."""
-        if node.member.kind == self.s.origin_kind:
-            return  # there is one
+        node.failed += points
+        if node.failed < LOST_LEAST or node.member.kind == self.s.origin_kind:
+            return  # of the origin there is one
         if not node.suspect:
             self.log(f"machine {node.member.cache} set aside: {why}")
             node.suspect, node.wait, node.trial_at = True, SUSPECT_FOR, self.now + SUSPECT_FOR
--- a/quincepier/simwire.py
+++ b/quincepier/simwire.py
@@ -71,6 +71,7 @@
     114: Ending.MOOT,
     2: Ending.MISS,
 }
+REPORTS = {"concurrent": "in flight", "depth": "queued", "load_share": "load", "x0": "hits", "x1": "link"}
 EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
 
 
@@ -286,6 +287,8 @@
             )
         )
     fronts = c.whole("replicas_of_me")
+    if fronts < 1:
+        raise SettingsError(f"settings hold replicas_of_me={fronts}, less than one")
     parties = range(c.whole("parties.count", "0"))
     return Settings(
         zone=c.whole("zone"),
@@ -299,6 +302,7 @@
         direct=c.flag(info + "pass_through_ok", "false"),
         joins=c.flag(info + "collapses", "false"),
         siblings=c.text(info + "peers_fill", "off") != "off",
+        reports=tuple(REPORTS.get(name, name) for name in c.items("report.fields")),
         client_kb_per_s=c.number(info + "client_kb_per_s", "0"),
         sizes_compare=c.text("weights", "off") in ("nominal", "rough"),
         purge_settles=c.whole(info + "purge_settles", "0"),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -48,6 +48,7 @@
         direct=True,
         joins=True,
         siblings=False,
+        reports=(),
         client_kb_per_s=4000.0,
         sizes_compare=True,
         purge_settles=6 * SECOND,
--- a/tests/test_policy_mechanism.py
+++ b/tests/test_policy_mechanism.py
@@ -247,4 +247,37 @@
         note = Note.FILLED if n % 8 else Note.HIT
         (sent,) = attempts(bench.ask(n, obj=n))
         bench.end(sent, Ending.OK, note, elapsed=(60 if n % 8 else 4000) * MS)
+        bench.wait(SECOND)
     assert bench.router.bound == 16
+
+
+def slow_hits(bench: Bench, cache: int, count: int) -> int:
+    """Hits that took ten times their own sending time at one cache; how many requests it then got of 40."""
+    for n in range(1000, 1000 + count):
+        for sent in attempts(bench.ask(n, obj=n, size_kb=400.0)):
+            slow = sent.cache == cache
+            bench.end(sent, Ending.OK, Note.HIT, elapsed=(1000 if slow else 100) * MS)
+    taken = 0
+    for n in range(40):
+        for sent in attempts(bench.ask(n, obj=n, size_kb=400.0)):
+            taken += sent.cache == cache
+            bench.end(sent, Ending.OK, Note.HIT, elapsed=(1000 if sent.cache == cache else 100) * MS)
+    return taken
+
+
+def test_machine_that_grows_slow_is_steered_past_and_comes_back() -> None:
+    bench = Bench()
+    assert slow_hits(bench, CACHES[0], 0) > 0
+    assert slow_hits(bench, CACHES[0], 60) == 0
+    bench.wait(20 * SECOND)  # what was seen fades, and the machine is asked again
+    homes = {a.cache for n in range(2000, 2040) for a in attempts(bench.ask(n, obj=n, size_kb=400.0))}
+    assert CACHES[0] in homes
+
+
+def test_reported_load_of_the_whole_fleet_holds_requests_of_a_thin_front() -> None:
+    """One front of a hundred has nothing else in flight there; what the cache says it holds tells."""
+    bench = Bench(make_settings(reports=("in flight",), fronts=200, fronts_by_zone=(0, 100)))
+    for n in range(30):
+        for sent in attempts(bench.ask(n, obj=n)):
+            bench.end(sent, Ending.OK, Note.FILLED, report=(300.0,))
+    assert attempts(bench.ask(99, obj=5)) == []
