--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -18,8 +18,7 @@
 SECOND = 1000 * MS
 TIER_WEIGHTS = (80.0, 15.0, 5.0)  # the design's shares of releases, highest tier first
 BOOST_EVERY = 10  # held requests for one object that add one to the weight (design)
-RELEASE_EVERY = 10 * MS  # the design's release interval
-FLOOR_EVERY = SECOND  # each tier with held requests releases at least one this often (design's floor)
+RELEASE_EVERY, FLOOR_EVERY = 10 * MS, SECOND  # the design's release interval; each held tier's floor
 BOUND_START = 16  # fills in flight at the start (design)
 BOUND_LEAST, BOUND_MOST = 8, 256  # a halved bound still lets each tier go on; a doubled one stays finite
 BAD_SHARE = 0.25  # the bound steps after a bound's worth of fills: down if more than this part went badly
@@ -28,7 +27,6 @@
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
 PACE_NEW, PACE_FADE = 0.3, SECOND  # weight of a sign of how slow a machine is; it fades by half in
-PACE_GUESS = 0.05  # its weight where the size of what was sent is not told, and rests on the mean
 HOLD_PART, HOLD_SCAN = 0.25, 16  # longest hold, as part of the wanted time; held objects looked through
 HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
 WATCH_EVERY = 100 * MS  # between looks for overdue attempts; one this much late shows our own standstill
@@ -38,7 +36,7 @@
 COLD_SAFETY = 0.6  # part of a cold budget that is earned: sizes are rough, and each front may overdraw
 COLD_BURST = 0.25  # part of a window's earnings that may be saved up
 MORE_ATTEMPTS, EXTRA_SHARE, EXTRA_MOST = 3, 0.2, 40.0  # a request's further ones; earned by a first; saved up
-WORK_NEW = 0.05  # weight of a new answer in the mean sending time of a class
+WORK_NEW = 0.02  # least weight of a new answer in the mean sending time of a class; first all count alike
 MEMORY_MOST = 20_000  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
 RAN_NOT = frozenset((Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT, Ending.MISS))  # prove it never ran
@@ -99,6 +97,7 @@
         place = {worth: math.ceil(2 * n / max(len(worths) - 1, 1)) for n, worth in enumerate(worths)}
         self.tiers = [place.get(c.worth, 0) for c in settings.classes]
         self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
+        self.samples = Counter[int]()
         self.nodes: dict[int, Node] = {}
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
         self.ranks: dict[int, list[Node]] = {}
@@ -408,13 +407,14 @@
                 source.credit += attempt.work
         told = e.report[self.in_flight] / node.size if self.in_flight < len(e.report) else 0.0
         if (seen := max(told, e.elapsed / self.work_of(attempt.req) if from_cache else 0.0)) > 0:
-            new = PACE_NEW if told or self.told(attempt.req) else PACE_GUESS
+            new = PACE_NEW if told or self.told(attempt.req) else PACE_NEW / 6  # rests on the mean size
             node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now)
             slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
             own = self.told(attempt.req) or e.elapsed / max(slowed, 1.0)  # a full link is shared
-            self.work[attempt.req.e.cls] += WORK_NEW * (own - self.work[attempt.req.e.cls])
+            self.samples[n := attempt.req.e.cls] += 1
+            self.work[n] += max(WORK_NEW, 1 / self.samples[n]) * (own - self.work[n])
         if attempt.fill:
             self.fills -= 1
             if e.ending is Ending.FULL and e.note not in (Note.SOURCE_BROKEN, Note.SOURCE_LACKS):  # at once
