Fills wait for a link told to be full; the bound falls to four; its own cache's pace is no slow fill

The least bound of 8 bound nowhere at 45 fronts. Also covers lost parents, purges and cold zones; might hurt where reports of the link are old.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -19,8 +19,7 @@
 TIER_WEIGHTS = (80.0, 15.0, 5.0)  # the design's shares of releases, highest tier first
 BOOST_EVERY = 10  # held requests for one object that add one to the weight (design)
 RELEASE_EVERY, FLOOR_EVERY = 10 * MS, SECOND  # the design's release interval; each held tier's floor
-BOUND_START = 16  # fills in flight at the start (design)
-BOUND_LEAST, BOUND_MOST = 8, 256  # a halved bound still lets each tier go on; a doubled one stays finite
+BOUND_START, BOUND_LEAST, BOUND_MOST = 16, 4, 256  # fills in flight: at the start (design), halved, doubled
 BAD_SHARE = 0.25  # the bound steps after a bound's worth of fills: down if more than this part went badly
 REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 4 * SECOND, 0.75  # between fills, doubled by a refused one
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
@@ -106,10 +105,9 @@
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
         self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
-        self.rest, self.fill_at = 0.0, now  # between fills, while they are refused; when the next may leave
+        self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, now  # what fills wait for; see full
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
-        self.in_flight = settings.reports.index("in flight") if "in flight" in settings.reports else 99
         self.extra, self.logs, self.awake, self.watching, self.watched = EXTRA_MOST, 0, False, False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
@@ -254,7 +252,7 @@
             self.send(req, origin, None)
         elif waits and fill and req.tier == 2 and self.fills >= GATE * self.bound:
             self.shed(req)
-        elif waits and (fill and (self.full() or any(self.depth)) or (node and self.crowded(node, req))):
+        elif waits and (fill and (self.full(req) or any(self.depth)) or (node and self.crowded(node, req))):
             self.hold(req)
         elif target := node or (source if self.s.direct else None):  # no cache to ask: straight to the parent
             self.send(req, target, source or target)
@@ -264,10 +262,9 @@
     def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
         limit = max(self.stands(req) * node.size / self.sharers(node), 2)
-        return self.s.sizes_compare and (len(node.out) + 1 > limit or self.pace(node) > self.stands(req))
+        return self.s.sizes_compare and (self.pace(node) > self.stands(req) or len(node.out) + 1 > limit)
 
     def stands(self, req: Request) -> float:
-        """How many times slower than alone a machine may send, for a request to be well on time."""
         return CROWD * self.aim(req) / self.work_of(req)
 
     def pace(self, node: Node) -> float:
@@ -285,8 +282,10 @@
         self.timer_in(HOLD_PART * self.aim(req), HOLD, req.e.request)
         self.wake()
 
-    def full(self) -> bool:
-        return self.fills >= self.bound or self.now < self.fill_at
+    def full(self, req: Request) -> bool:
+        """Whether a fill must wait: for the bound, after refusals, for the zone's link if that is told."""
+        link = self.link * math.exp2((self.link_at - self.now) / PACE_FADE)
+        return self.fills >= self.bound or self.now < self.fill_at or link * self.work_of(req) > self.aim(req)
 
     def known(self, node: Node, req: Request) -> bool:
         return self.now - self.hits.get((node.member.cache, req.key), self.now - HIT_MEMORY) < HIT_MEMORY
@@ -360,8 +359,7 @@
         return req.e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
 
     def ended(self, e: io.AttemptEnded) -> None:
-        attempt = self.attempts.pop((e.request, e.attempt), None)
-        if attempt is None:
+        if (attempt := self.attempts.pop((e.request, e.attempt), None)) is None:
             return
         req = attempt.req
         req.open.pop(e.attempt, None)
@@ -405,7 +403,10 @@
                 self.trust(source)
             if from_cache:
                 source.credit += attempt.work
-        told = e.report[self.in_flight] / node.size if self.in_flight < len(e.report) else 0.0
+        reported = dict(zip(self.s.reports, e.report, strict=False))
+        if node.member.zone == self.s.zone and "link" in reported:
+            self.link, self.link_at = reported["link"], self.now
+        told = reported.get("in flight", 0.0) / node.size
         if (seen := max(told, e.elapsed / self.work_of(attempt.req) if from_cache else 0.0)) > 0:
             new = PACE_NEW if told or self.told(attempt.req) else PACE_NEW / 6  # rests on the mean size
             node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
@@ -422,13 +423,13 @@
                 self.fill_at = self.now + int(self.random.uniform(0.5, 1.5) * self.rest)
             elif e.ending is Ending.OK and not from_cache:
                 self.rest *= REST_EASE
-            slow = e.waited > attempt.req.cls.on_time or e.elapsed > self.aim(attempt.req)
+            slow = e.waited > attempt.req.cls.on_time or e.elapsed > self.aim(attempt.req) * self.pace(node)
             if e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache):
                 self.bad += 1  # so is one called off at its deadline
             elif e.ending is Ending.OK and not from_cache:
                 self.good += 1
             if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
-                if self.bad > BAD_SHARE * self.bound:
+                if self.bad > BAD_SHARE * (self.good + self.bad):
                     self.bound = max(self.bound // 2, BOUND_LEAST)
                 elif any(self.depth) and self.fills >= GATE * self.bound:  # it is what holds them
                     self.bound = min(self.bound * 2, BOUND_MOST)
@@ -437,9 +438,8 @@
     def trust(self, node: Node) -> None:
         node.heard, node.failed = self.now, 0
         if node.suspect:
-            if node.wait > 2 * SUSPECT_FOR:  # a trial failed: it was away and starts anew, told or not
-                node.cold_at = self.now
-            node.suspect = False
+            # where a trial failed it was away and starts anew, told or not
+            node.suspect, node.cold_at = False, self.now if node.wait > 2 * SUSPECT_FOR else node.cold_at
             self.log(f"machine {node.member.cache} answers again")
 
     def distrust(self, node: Node, why: str, points: float = LOST_LEAST) -> None:
@@ -527,7 +527,7 @@
         for queue in islice(queues.values(), HOLD_SCAN):
             node = self.place(queue[0])
             full = node is not None and self.crowded(node, queue[0])
-            may = not full and (not self.full() or node is not None and self.known(node, queue[0]))
+            may = not full and (not self.full(queue[0]) or node is not None and self.known(node, queue[0]))
             if may and (best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY):
                 best = queue
         return best
