--- a/tests/test_policy_mechanism.py
+++ b/tests/test_policy_mechanism.py
@@ -7,7 +7,7 @@
 
 from quincepier import interface as io
 from quincepier.interface import Ending, ListScope, Note
-from quincepier.policy import CROWD
+from quincepier.policy import CROWD, Node, Request
 from tests.rig import (
     CACHES,
     MS,
@@ -281,3 +281,54 @@
         for sent in attempts(bench.ask(n, obj=n)):
             bench.end(sent, Ending.OK, Note.FILLED, report=(300.0,))
     assert attempts(bench.ask(99, obj=5)) == []
+
+
+def test_refused_fills_space_out_and_come_back() -> None:
+    """An origin that refuses answers at once; in flight there is never anything that a bound could count."""
+    bench, fills = Bench(), 0
+    for n in range(400):
+        for sent in attempts(bench.ask(n, obj=n)) + attempts(bench.wait(10 * MS)):
+            fills += isinstance(sent, io.Fetch) and sent.source != sent.cache
+            bench.end(sent, Ending.FULL)
+    assert 0 < fills < 60
+    rest = bench.router.rest
+    bench.wait(10 * SECOND)
+    for n in range(1000, 1020):
+        for sent in attempts(bench.ask(n, obj=n)):
+            bench.end(sent, Ending.OK, Note.FILLED)
+        bench.wait(SECOND)
+    assert bench.router.rest < rest / 4
+
+
+def test_fills_wait_for_a_link_that_is_told_to_be_full() -> None:
+    bench = Bench(make_settings(reports=("link",)))
+    (sent,) = attempts(bench.ask(1, obj=1))
+    bench.end(sent, Ending.OK, Note.HIT, report=(20.0,))
+    assert attempts(bench.ask(2, obj=2)) == []  # a fill
+    (hit,) = attempts(bench.ask(3, obj=1))  # a known hit needs no link
+    freed = attempts(bench.end(hit, Ending.OK, Note.HIT, report=(0.5,)))
+    assert [a.request for a in freed] == [2]
+
+
+def test_cost_of_a_request_does_not_grow_with_the_list() -> None:
+    """Counts the machines asked about, not time: caches of other zones are never looked at."""
+
+    def looks(foreign: int) -> int:
+        bench, count = Bench(), 0
+        far = tuple(replace(member(5000 + n), zone=9) for n in range(foreign))
+        bench.give(io.ListNews(ListScope.CHANGES, far))
+        usable = bench.router.usable
+
+        def counted(node: Node, req: Request) -> bool:
+            nonlocal count
+            count += 1
+            return usable(node, req)
+
+        bench.router.usable = counted  # type: ignore[method-assign]
+        for n in range(20):
+            for sent in attempts(bench.ask(n, obj=n)):
+                bench.end(sent, Ending.OK, Note.HIT)
+            bench.wait(50 * MS)
+        return count
+
+    assert looks(0) == looks(500) > 0
