--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -19,9 +19,10 @@
 TIER_WEIGHTS = (80.0, 15.0, 5.0)  # the design's shares of releases, highest tier first
 BOOST_EVERY = 10  # held requests for one object that add one to the weight (design)
 RELEASE_EVERY, FLOOR_EVERY = 10 * MS, SECOND  # the design's release interval; each held tier's floor
-BOUND_START, BOUND_LEAST, BOUND_MOST = 16, 4, 256  # fills in flight: at the start (design), halved, doubled
+BOUND_START, BOUND_MOST = 16, 256  # fills in flight: at the start (design), doubled
+BOUND_LEAST, BOUND_EACH = 12, 4  # halved: of a zone's fronts together, but of each so many, which add up
 BAD_SHARE = 0.25  # the bound steps after a bound's worth of fills: down if more than this part went badly
-REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 4 * SECOND, 0.75  # between fills, doubled by a refused one
+REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 4 * SECOND, 0.6  # between fills, doubled by a refused one
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
@@ -104,6 +105,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
         self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
+        self.least = max(BOUND_LEAST // max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1), BOUND_EACH)
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, now  # what fills wait for; see full
         self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
@@ -261,8 +263,9 @@
 
     def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
-        limit = max(self.stands(req) * node.size / self.sharers(node), 2)
-        return self.s.sizes_compare and (self.pace(node) > self.stands(req) or len(node.out) + 1 > limit)
+        n = self.sharers(node)  # the more fronts act on the same signs, the more room is left
+        late = self.pace(node) * self.work_of(req) > (CROWD + (1 - CROWD) / n) * self.aim(req)
+        return self.s.sizes_compare and (late or len(node.out) + 1 > max(self.stands(req) * node.size / n, 2))
 
     def stands(self, req: Request) -> float:
         return CROWD * self.aim(req) / self.work_of(req)
@@ -361,8 +364,7 @@
     def ended(self, e: io.AttemptEnded) -> None:
         if (attempt := self.attempts.pop((e.request, e.attempt), None)) is None:
             return
-        req = attempt.req
-        req.open.pop(e.attempt, None)
+        (req := attempt.req).open.pop(e.attempt, None)
         for node in filter(None, (attempt.node, attempt.source)):
             node.out.pop((e.request, e.attempt), None)
         self.learn(attempt, e)
@@ -397,12 +399,10 @@
             self.trust(node)
         if source is not None:
             if e.note in (Note.SOURCE_BROKEN, Note.SOURCE_REFUSED):  # a dead process refuses, a full one too
-                points = LOST_LEAST if e.note is Note.SOURCE_BROKEN else LOST_LEAST / 2
-                self.distrust(source, "broken as a source", points)
+                self.distrust(source, "broken as source", LOST_LEAST / (1 + (e.note == Note.SOURCE_REFUSED)))
             elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
                 self.trust(source)
-            if from_cache:
-                source.credit += attempt.work
+            source.credit += attempt.work * from_cache  # it was not asked
         reported = dict(zip(self.s.reports, e.report, strict=False))
         if node.member.zone == self.s.zone and "link" in reported:
             self.link, self.link_at = reported["link"], self.now
@@ -430,7 +430,7 @@
                 self.good += 1
             if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
                 if self.bad > BAD_SHARE * (self.good + self.bad):
-                    self.bound = max(self.bound // 2, BOUND_LEAST)
+                    self.bound = max(self.bound // 2, self.least)
                 elif any(self.depth) and self.fills >= GATE * self.bound:  # it is what holds them
                     self.bound = min(self.bound * 2, BOUND_MOST)
                 self.good = self.bad = 0
@@ -438,8 +438,8 @@
     def trust(self, node: Node) -> None:
         node.heard, node.failed = self.now, 0
         if node.suspect:
-            # where a trial failed it was away and starts anew, told or not
-            node.suspect, node.cold_at = False, self.now if node.wait > 2 * SUSPECT_FOR else node.cold_at
+            node.suspect = False  # where a trial failed it was away and starts anew, told or not
+            node.cold_at = self.now if node.wait > 2 * SUSPECT_FOR else node.cold_at
             self.log(f"machine {node.member.cache} answers again")
 
     def distrust(self, node: Node, why: str, points: float = LOST_LEAST) -> None:
