--- a/tests/test_policy_properties.py
+++ b/tests/test_policy_properties.py
@@ -40,7 +40,22 @@
     "no direct route, few attempts": make_settings(
         classes=(make_class(), FRESH, UNSAFE, KEYED), direct=False, attempts=2, sizes_compare=False
     ),
+    "hundreds of fronts": make_settings(
+        classes=(make_class(), FRESH, UNSAFE, KEYED),
+        fronts=210,
+        fronts_by_zone=(0, 17, *[16] * 12),
+        reports=("in flight", "link"),
+    ),
+    "one front alone": make_settings(
+        classes=(make_class(), FRESH, UNSAFE, KEYED), fronts=1, fronts_by_zone=(0, 1)
+    ),
+    "seats not told": make_settings(
+        classes=(make_class(), FRESH, UNSAFE, KEYED), fronts=9, fronts_by_zone=()
+    ),
 }
+LARGE = tuple(replace(member(7000 + n), zone=2 + n % 12) for n in range(92)) + tuple(
+    member(8000 + n, 1) for n in range(8)
+)
 STEPS = st.tuples(st.integers(0, 11), st.integers(0, 10**6), st.integers(0, 400))
 
 
@@ -56,10 +71,11 @@
         self.sends: dict[int, list[tuple[int, int, Ending | None]]] = {}
         self.timers: list[tuple[int, int]] = []
         self.purged: dict[tuple[int, int], int] = {}
-        self.states = {m.cache: m for m in fleet()}
+        many = LARGE if site.fronts > 100 else ()
+        self.states = {m.cache: m for m in (*fleet(), *many)}
         self.cold: dict[int, list[int]] = {}
         self.next = 0
-        self.give(io.ListNews(ListScope.REMEMBERED, fleet()))
+        self.give(io.ListNews(ListScope.REMEMBERED, tuple(self.states.values())))
 
     def give(self, event: io.Event) -> None:
         for action in self.router.handle(self.now, event):
@@ -144,8 +160,9 @@
             self.owed.pop(request, None)
         last = request not in self.owed
         waited = (self.now - at) // 2
+        report = tuple(float(pick % 40) for _ in self.site.reports)  # quiet, full, and far past full
         self.give(
-            io.AttemptEnded(request, no, sent.cache, ending, self.now - at, last, note, waited, ())
+            io.AttemptEnded(request, no, sent.cache, ending, self.now - at, last, note, waited, report)
         )
 
     def relist(self, pick: int, state: CacheState) -> None:
@@ -195,11 +212,13 @@
                 self.give(io.StreamBegan(request, no, self.out[request, no][0].cache))
 
     def finish(self) -> None:
+        while self.out:
+            self.end(0, Ending.CANCELLED, Note.NONE)
+        self.advance(20 * SECOND)  # in which held requests may leave
         while self.out:
             while self.out:
                 self.end(0, Ending.CANCELLED, Note.NONE)
-            self.advance(20 * SECOND)  # in which held requests may leave
-        self.advance(20 * SECOND)
+            self.advance(20 * SECOND)
         assert set(self.owed) <= self.begun, "some request never got its answer"
         router = self.router
         assert router.attempts == {} and router.fills == 0 and router.depth == [0, 0, 0]
