Signs of pace fade in two seconds; hits of untold size weigh half, at four times slow at most

Cause: at a front with one hit a second at a cache, signs faded before the next came, and a tenfold slow machine read as less than twice. Also covers slow machines. Might hurt where a short stall is taken for slowness two seconds longer.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -26,7 +26,8 @@
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
-PACE_NEW, PACE_FADE = 0.3, SECOND  # weight of a sign of how slow a machine is; it fades by half in
+PACE_NEW, PACE_FADE = 0.3, 2 * SECOND  # weight of a sign of how slow a machine is; it fades by half in
+PACE_GUESS = 4.0  # most that a hit of untold size says of it, at half the weight: large objects look slow
 HOLD_PART, HOLD_SCAN = 0.25, 16  # longest hold, as part of the wanted time; held objects looked through
 HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
 WATCH_EVERY = 100 * MS  # between looks for overdue attempts; one this much late shows our own standstill
@@ -280,8 +281,7 @@
 
     def hold(self, req: Request) -> None:
         self.held[req.tier].setdefault(req.key, deque()).append(req)
-        self.depth[req.tier] += 1
-        req.held = True
+        self.depth[req.tier], req.held = self.depth[req.tier] + 1, True
         self.timer_in(HOLD_PART * self.aim(req), HOLD, req.e.request)
         self.wake()
 
@@ -407,8 +407,9 @@
         if node.member.zone == self.s.zone and "link" in reported:
             self.link, self.link_at = reported["link"], self.now
         told = reported.get("in flight", 0.0) / node.size
-        if (seen := max(told, e.elapsed / self.work_of(attempt.req) if from_cache else 0.0)) > 0:
-            new = PACE_NEW if told or self.told(attempt.req) else PACE_NEW / 6  # rests on the mean size
+        own, sure = e.elapsed / self.work_of(attempt.req) * from_cache, told > 0 or self.told(attempt.req) > 0
+        if (seen := max(told, own if sure else min(own, PACE_GUESS))) > 0:
+            new = PACE_NEW if sure else PACE_NEW / 2
             node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now)
@@ -460,9 +461,8 @@
 
     def watch(self) -> None:
         late, self.watching = Counter[Node](), False
-        stood_still = self.now - self.watched > WATCH_EVERY  # the answers that it missed are still to come
         for a in self.attempts.values():  # the oldest first
-            if a.at > self.now - SECOND or stood_still:
+            if a.at > self.now - SECOND or self.now - self.watched > WATCH_EVERY:  # answers are still to come
                 break
             if a.at <= self.now - self.aim(a.req) and not a.req.begun:
                 # a source is silent only if its asker is not
