--- a/tests/test_policy_mechanism.py
+++ b/tests/test_policy_mechanism.py
@@ -252,7 +252,7 @@
 
 
 def slow_hits(bench: Bench, cache: int, count: int) -> tuple[int, int]:
-    """Hits that took ten times as long at one cache; of 40 requests then, how many it got and how many left."""
+    """Hits take ten times as long at one cache; of 40 requests then, how many it got and how many left."""
     for n in range(1000, 1000 + count):
         for sent in attempts(bench.ask(n, obj=n, size_kb=400.0)):
             slow = sent.cache == cache
