--- a/quincepier/__main__.py
+++ b/quincepier/__main__.py
@@ -27,6 +27,11 @@
 
 import sys
 
+from quincepier.lifecycle import signals
+
+if __name__ == "__main__":
+    signals.catch()
+
 from docopt import DocoptExit, docopt
 
 from quincepier import __version__
@@ -44,6 +49,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    signals.catch()
     try:
         chosen = docopt(__doc__ or "", argv)
     except DocoptExit as error:
@@ -63,7 +69,7 @@
     from quincepier.lifecycle import front, logs
 
     logs.set_up()
-    return front.run(config)
+    return front.run(config, chosen["--config"])
 
 
 if __name__ == "__main__":
--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -10,7 +10,7 @@
 import math
 import os
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from enum import Enum
 from pathlib import Path
 from typing import Any, TypeVar
@@ -32,7 +32,7 @@
     "err_ps": "eps",
 }
 FILE_MOST = 16 * 1024 * 1024  # bytes of a configuration file
-MEMORY_LEAST, SOCKETS_LEAST = 96, 128  # a front needs so many MB and descriptors
+MEMORY_LEAST, SOCKETS_LEAST = 16, 32  # below it nothing can be served; above it a tight front serves fewer
 Word = TypeVar("Word", bound=Enum)
 
 
@@ -309,3 +309,16 @@
     except (ValueError, RecursionError) as error:
         raise SettingsError(f"ROUTER_CONFIG={place} is not JSON: {error}") from None
     return read_front(value, environment)
+
+
+# What a new configuration changes while the front serves; the rest counts from the next start.
+RELOADED = ("changelog", "streams", "idle", "dial_timeout")
+NOT_COMPARED = ("seed", "known_seq", "known")  # new with every file, of use at a start alone
+
+
+def reloaded(old: FrontConfig, new: FrontConfig) -> tuple[FrontConfig, list[str], list[str]]:
+    """The configuration to go on with, the keys that changed in it, and those left for the next start."""
+    differ = [f.name for f in fields(old) if getattr(old, f.name) != getattr(new, f.name)]
+    now = [name for name in differ if name in RELOADED]
+    later = [name for name in differ if name not in RELOADED + NOT_COMPARED]
+    return replace(old, **{name: getattr(new, name) for name in now}), now, later
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -13,8 +13,10 @@
 
 from quincepier import clock
 from quincepier.checks import Checks
-from quincepier.config import FrontConfig
-from quincepier.memory.pool import BUFFER_SIZE, BufferPool
+from quincepier.config import FrontConfig, SettingsError, load_front, reloaded
+from quincepier.lifecycle import signals
+from quincepier.memory.budget import own_memory, share_out
+from quincepier.memory.pool import BufferPool
 from quincepier.net.actor import Actor
 from quincepier.net.changes import ChangesActor
 from quincepier.net.client import Listener, Shop
@@ -23,7 +25,6 @@
 
 TICK = 0.1  # seconds between looks at the loop's lag
 SWEEP_EVERY, TELL_EVERY = 10, 100  # ticks
-POOL_SHARE = 0.4  # of the memory limit for buffers; the program itself takes some 45 MB
 # After SIGTERM clients come on for up to 0.6 s; the kill comes the longest deadline, three seconds at most,
 # plus 0.7 s after it. What is open shortly before is answered as failed, as the process ends.
 DRAIN_LEAST, DRAIN_DEADLINE_MOST, DRAIN_END = 0.75, 3.0, 0.45
@@ -31,11 +32,12 @@
 
 
 class Front:
-    def __init__(self, config: FrontConfig) -> None:
-        self.config, self.checks = config, Checks()
-        self.pool = BufferPool(int(config.memory_mb * POOL_SHARE * 1024 * 1024 / BUFFER_SIZE))
+    def __init__(self, config: FrontConfig, path: str | None = None) -> None:
+        self.config, self.path, self.checks = config, path, Checks()
+        budget = share_out(config.memory_mb, own_memory(), config.max_open)
+        self.pool = BufferPool(budget.buffers)
         self.descriptors = Descriptors(config.sockets)
-        self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, self._make_room)
+        self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, self._make_room, budget)
         self.shop = Shop(self.module.means, lambda: self.module.standing)
         self.changes = ChangesActor(self.module.means)
         self.term = asyncio.Event()
@@ -51,6 +53,7 @@
         listener = Listener(self.shop, sock)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.term.set)
+        signals.on_reload(self.reload)
         self.module.begin()
         self.changes.start()
         listener.start()
@@ -61,6 +64,7 @@
         gc.freeze()
         await self.term.wait()
         await self._drain(listener)
+        signals.on_reload(None)
         upkeep.cancel()
         actors: list[Actor[Any]] = [listener, self.changes]
         for actor in (*actors, *self.module.caches.values(), *self.shop.connections):
@@ -70,6 +74,21 @@
         sock.close()
         self._tell("stopped")
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again. One that can't be used is logged, and the old one stays."""
+        try:
+            config, now, later = reloaded(self.module.means.config, load_front(path=self.path))
+        except SettingsError as error:
+            self.checks.event("new configuration not taken", str(error))
+            return
+        self.module.means.config = config
+        self.checks.count("configurations read again")
+        logger.info("configuration read again: {} changed", ", ".join(now) or "nothing")
+        if later:
+            logger.warning("changed only at the next start: {}", ", ".join(later))
+        if "changelog" in now:
+            self.changes.move()
+
     async def _drain(self, listener: Listener) -> None:
         """Serve on while clients may still come, then until nothing is open, and end before the kill."""
         began = clock.now()
@@ -124,13 +143,13 @@
         )
 
 
-def run(config: FrontConfig) -> int:
+def run(config: FrontConfig, path: str | None = None) -> int:
     """The exit code: 0 after a drain, 1 where the address can't be had."""
     import uvloop
 
     async def main() -> int:
         try:
-            await Front(config).serve()
+            await Front(config, path).serve()
         except OSError as error:
             host, port = config.listen
             logger.error("can't listen on {}:{}: {}", host, port, os.strerror(error.errno or 0))
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from quincepier import clock
+from quincepier.config import FrontConfig
 from quincepier.interface import Ending
 from quincepier.memory.pool import Body
 from quincepier.memory.requests import OpenAttempt
@@ -37,11 +38,15 @@
     """What all cache actors use, and who waits for buffers."""
 
     def __init__(self, means: Means, make_room: Callable[[], None]) -> None:
-        self.config, self.checks, self.pool = means.config, means.checks, means.pool
+        self.means, self.checks, self.pool = means, means.checks, means.pool
         self.descriptors, self.module, self.make_room = means.descriptors, means.module, make_room
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.pool.on_free = self.freed
 
+    @property
+    def config(self) -> FrontConfig:
+        return self.means.config
+
     def freed(self) -> None:
         while self.waiting:
             room = self.waiting.popleft()
--- a/quincepier/net/changes.py
+++ b/quincepier/net/changes.py
@@ -15,9 +15,11 @@
 from quincepier.wire.changelog import BadRecord, ChangeEvent, decode_changes
 from quincepier.wire.errors import ProtocolError
 
-POLL_MS, POLL_GRACE = 5000, 3.0  # the longest poll; seconds past it in which an answer may still come
-CONNECT_WITHIN = 1.0
-BACK_OFF, BACK_OFF_MOST = 0.1, 2.0  # seconds; doubled at each failure in a row
+# The longest wait asked for, and the seconds past it in which an answer may still come. A log that stopped
+# but stays open is found out after both, and what it has to tell counts as told 2 s after the wait.
+POLL_MS, POLL_GRACE = 1000, 0.75
+CONNECT_WITHIN = 0.5
+BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds; none at the first failure, then doubled at each in a row
 ANSWER_MOST = 8 * 1024 * 1024
 TRIES = 3  # of a record that can't be read, or of a gap, before it is passed over
 
@@ -42,25 +44,43 @@
 
     def __init__(self, means: Means) -> None:
         super().__init__(means.checks, 1)
-        self.config, self.pool, self.descriptors = means.config, means.pool, means.descriptors
+        self.means, self.descriptors = means, means.descriptors
         self.module = means.module
-        self.last, self.failures, self.tries = self.config.known_seq, 0, 0
-        self.random = random.Random(self.config.seed)
+        self.last, self.failures, self.tries = means.config.known_seq, 0, 0
+        self.random = random.Random(means.config.seed)
         self.sock: socket.socket | None = None
+        self.buffers = means.pool.take() or []  # its own for good: purges come whatever else is short
+        self.polling: asyncio.Task[bytes] | None = None
+        self.moved = False
+
+    def move(self) -> None:
+        """The configuration names another address: ask there now, from the number reached."""
+        self.moved, self.failures = True, 0
+        if self.polling is not None:
+            self.polling.cancel()
 
     async def run(self) -> None:
         try:
             while True:
                 try:
-                    await self._take(*decode_changes(await self._poll()))
+                    self.polling = asyncio.ensure_future(self._poll())
+                    await asyncio.wait((self.polling,))
+                    if self.moved:
+                        self.moved = False
+                        self._close()
+                        continue
+                    await self._take(*decode_changes(self.polling.result()))
                     self.failures = 0
                 except Exception as error:  # whatever it is, it is tried again
                     self._close()
                     self.failures += 1
                     self.checks.event("change log lost", f"{type(error).__name__}: {error}")
-                    wait = min(BACK_OFF * 2 ** min(self.failures - 1, 10), BACK_OFF_MOST)
-                    await asyncio.sleep(wait * self.random.uniform(0.5, 1))
+                    if self.failures > 1:
+                        wait = min(BACK_OFF * 2 ** min(self.failures - 2, 10), BACK_OFF_MOST)
+                        await asyncio.sleep(wait * self.random.uniform(0.5, 1))
         finally:
+            if self.polling is not None:
+                self.polling.cancel()
             self._close()
 
     def _close(self) -> None:
@@ -72,23 +92,18 @@
     async def _poll(self) -> bytes:
         loop = asyncio.get_running_loop()
         if self.sock is None:
-            self.sock = await connect(self.config.changelog, CONNECT_WITHIN)
+            self.sock = await connect(self.means.config.changelog, CONNECT_WITHIN)
             self.descriptors.cache(1)
-        host, port = self.config.changelog
+        host, port = self.means.config.changelog
         ask = f"GET /changes?since={self.last}&timeout={POLL_MS} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        response, buffers = Response(), self.pool.take()
-        if buffers is None:
-            raise ProtocolError("no buffer to read into")
-        try:
-            async with asyncio.timeout(POLL_MS / 1000 + POLL_GRACE):
-                await loop.sock_sendall(self.sock, ask.encode())
-                while not response.whole:
-                    size = await loop.sock_recv_into(self.sock, memoryview(buffers[0]))
-                    if size == 0:
-                        raise ProtocolError("the connection ends inside an answer")
-                    response.parser.feed_data(memoryview(buffers[0])[:size])
-        finally:
-            self.pool.give(buffers)
+        response, view = Response(), memoryview(self.buffers[0])
+        async with asyncio.timeout(POLL_MS / 1000 + POLL_GRACE):
+            await loop.sock_sendall(self.sock, ask.encode())
+            while not response.whole:
+                size = await loop.sock_recv_into(self.sock, view)
+                if size == 0:
+                    raise ProtocolError("the connection ends inside an answer")
+                response.parser.feed_data(view[:size])
         status = response.parser.get_status_code()
         if status != 200:
             raise ProtocolError(f"an answer of status {status}")
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -20,7 +20,6 @@
 
 MAILBOX_MOST = 64
 BATCH = 65_536  # bytes written at a time
-BODIES_MOST = 16 * 1024 * 1024  # bytes of requests' bodies held at a time, over all connections
 EXTRA = 16  # connections past the account that are answered OVERLOADED
 
 
@@ -32,7 +31,7 @@
         self.module, self.standing = means.module, standing
         self.classes = class_numbers(means.config)
         self.connections: set[ClientConnection] = set()
-        self.bodies = 0
+        self.bodies, self.bodies_most = 0, means.budget.bodies
 
     def make_room(self) -> None:
         """The pool is used up. Of the client that has taken nothing for longest, answers not begun become
@@ -186,7 +185,7 @@
         if call.params.get("SCRIPT_NAME") == PING and not call.fault:
             self._say(call.id, cgi_head(200 if self.shop.standing() else 503))
             return
-        if self.extra or self.shop.bodies + len(call.body) > BODIES_MOST:
+        if self.extra or self.shop.bodies + len(call.body) > self.shop.bodies_most:
             self.checks.event("request refused: too much open")
             self._overloaded(call.id)
             return
--- a/quincepier/net/means.py
+++ b/quincepier/net/means.py
@@ -6,16 +6,18 @@
 
 from quincepier.checks import Checks
 from quincepier.config import FrontConfig
+from quincepier.memory.budget import Budget
 from quincepier.memory.pool import BufferPool
 from quincepier.net.actor import Mailbox
 from quincepier.net.messages import ToModule
 from quincepier.net.sockets import Descriptors
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Means:
-    config: FrontConfig
+    config: FrontConfig  # replaced as a whole when a new one is read
     checks: Checks
     pool: BufferPool
     descriptors: Descriptors
     module: Mailbox[ToModule]
+    budget: Budget
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -14,6 +14,7 @@
 from quincepier.checks import Checks
 from quincepier.config import FrontConfig
 from quincepier.interface import Ending, ListScope
+from quincepier.memory.budget import Budget
 from quincepier.memory.members import Directory
 from quincepier.memory.pool import BufferPool
 from quincepier.memory.requests import OpenRequest, Requests
@@ -41,7 +42,6 @@
 from quincepier.wire.errors import ProtocolError
 
 MAILBOX_MOST = 1024
-REQUESTS_MOST = 4096  # open at a time: what memory allows; more are answered OVERLOADED
 TURNS = 32  # messages handled before others get the loop
 
 
@@ -55,13 +55,14 @@
         pool: BufferPool,
         descriptors: Descriptors,
         make_room: Callable[[], None],
+        budget: Budget,
     ) -> None:
         super().__init__(checks, MAILBOX_MOST)
         self.config = config
-        self.means = Means(config, checks, pool, descriptors, self.mailbox)
+        self.means = Means(config, checks, pool, descriptors, self.mailbox, budget)
         self.shared = Shared(self.means, make_room)
         self.directory = Directory(config.zones, config.kinds)
-        self.requests = Requests(min(REQUESTS_MOST, config.max_open))
+        self.requests = Requests(budget.requests)
         self.caches: dict[int, CacheActor] = {}
         self.timers: list[tuple[int, int, int]] = []
         self.timers_set = 0
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -5,15 +5,16 @@
 import asyncio
 import socket
 
-SPARE = 48  # descriptors left for the loop, the log and the like
+SPARE = 16  # descriptors of the loop, the listener, the log and the like; 11 seen
 
 
 class Descriptors:
     """The front's own account of its sockets: half for clients, the rest for caches and the change log."""
 
     def __init__(self, limit: int) -> None:
-        self.clients_most = limit // 2
-        self.caches_most = limit - self.clients_most - SPARE
+        usable = max(limit - SPARE, 8)
+        self.clients_most = usable // 2
+        self.caches_most = usable - self.clients_most
         self.clients = self.caches = self.peak = 0
 
     def client(self, by: int) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -101,7 +101,8 @@
         self.events: list[dict[str, Any]] = []
         self.since: list[int] = []
         self.broken: list[bytes] = []
-        self.changed = asyncio.Event()
+        self.changed, self.stalled = asyncio.Event(), asyncio.Event()
+        self.stopped = False  # a poll that comes while this is set is never answered
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -128,6 +129,10 @@
                 asked = parse_qs(urlsplit(line.decode().split(" ")[1]).query)
                 since = int(asked["since"][0])
                 self.since.append(since)
+                if self.stopped:
+                    self.stalled.set()
+                    await reader.read()
+                    return
                 if self.broken:
                     writer.write(self.broken.pop(0))
                     writer.close()
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -14,6 +14,7 @@
 from quincepier.checks import Checks
 from quincepier.config import FrontConfig, read_front
 from quincepier.interface import Ending
+from quincepier.memory.budget import Budget
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.memory.requests import OpenAttempt
 from quincepier.net.actor import Mailbox
@@ -73,11 +74,14 @@
         return self.script(event)
 
 
+BUDGET = Budget(buffers=100, bodies=1 << 20, requests=4096)
+
+
 def make_module(
     script: Callable[[io.Event], list[io.Action]], config: FrontConfig | None = None
 ) -> tuple[ModuleActor, Scripted]:
-    checks, router = Checks(), Scripted(script)
-    actor = ModuleActor(config or make_config(), checks, BufferPool(100), Descriptors(1024), lambda: None)
+    checks, router, pool = Checks(), Scripted(script), BufferPool(100)
+    actor = ModuleActor(config or make_config(), checks, pool, Descriptors(1024), lambda: None, BUDGET)
     actor.router = router  # type: ignore[assignment]
     return actor, router
 
