--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -197,6 +197,12 @@
     known_seq: int
     known: tuple[ChangeEvent, ...]
 
+    @property
+    def wait_ms(self) -> int | None:
+        """What a client is told that the front itself refuses: the longest wait it honours, where it does."""
+        most = self.settings.max_retry_after // 1_000_000 if self.settings.retry_after else 0
+        return most or None
+
 
 class _Keys:
     """The JSON object of the front, each key taken with its type."""
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -24,7 +24,7 @@
 from quincepier.net.sockets import Descriptors, listen
 
 TICK = 0.1  # seconds between looks at the loop's lag
-SWEEP_EVERY, TELL_EVERY = 10, 100  # ticks
+SWEEP_EVERY, TELL_EVERY = 2, 100  # ticks
 # After SIGTERM clients come on for up to 0.6 s; the kill comes the longest deadline, three seconds at most,
 # plus 0.7 s after it. What is open shortly before is answered as failed, as the process ends.
 DRAIN_LEAST, DRAIN_DEADLINE_MOST, DRAIN_END = 0.75, 3.0, 0.45
@@ -107,21 +107,23 @@
             await asyncio.sleep(FLUSH)
 
     def _quiet(self) -> bool:
-        return not self.module.requests.unanswered and all(c.idle for c in self.shop.connections)
+        """Nothing asked whole is unanswered; what is half-sent holds no drain up."""
+        return not self.module.requests.unanswered and not any(c.owed for c in self.shop.connections)
 
     async def _upkeep(self) -> None:
-        """Sweep idle connections, watch the loop's lag, tell counters that moved."""
+        """Sweep overdue and idle connections, watch the loop's lag, tell counters that moved."""
         ticks = 0
         while True:
             before = clock.now()
             await asyncio.sleep(TICK)
             self.lag_most = max(self.lag_most, clock.now() - before - int(TICK * clock.SECOND))
             ticks += 1
-            if ticks % SWEEP_EVERY == 0:
-                try:
+            try:
+                if ticks % SWEEP_EVERY == 0:
+                    self.shop.sweep(clock.now())
                     self.module.sweep(clock.now())
-                except Exception as error:
-                    self.checks.event("exception in the upkeep", f"{type(error).__name__}: {error}")
+            except Exception as error:
+                self.checks.event("exception in the upkeep", f"{type(error).__name__}: {error}")
             if ticks % TELL_EVERY == 0 and (moved := self.checks.changed()):
                 logger.info("counters: {}", moved)
 
--- a/quincepier/memory/members.py
+++ b/quincepier/memory/members.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from quincepier import clock
@@ -26,7 +26,7 @@
         self.zones = {name: n for n, name in enumerate(zones)}
         self.kinds = {name: n for n, name in enumerate(kinds)}
         self.entries: dict[str, Entry] = {}
-        self.numbers: dict[str, int] = {}  # of all hosts ever named: a number never passes to another host
+        self.numbers: dict[str, int] = {}  # of the hosts listed, and of those that are still in use
         self.hosts: dict[int, str] = {}
 
     def number(self, host: str) -> int:
@@ -66,5 +66,11 @@
     def whole(self) -> ListNews:
         return ListNews(ListScope.FULL, tuple(entry.member for entry in self.entries.values()))
 
+    def forget(self, used: Collection[int]) -> None:
+        """Let go of hosts that are off the list and that nothing open refers to."""
+        for number, host in list(self.hosts.items()):
+            if host not in self.entries and number not in used:
+                del self.hosts[number], self.numbers[host]
+
     def listed(self) -> Iterable[tuple[int, HostRecord]]:
         return ((entry.member.cache, entry.record) for entry in self.entries.values())
--- a/quincepier/memory/requests.py
+++ b/quincepier/memory/requests.py
@@ -52,6 +52,7 @@
     def __init__(self, most: int) -> None:
         self.most, self.next = most, 1
         self.open: dict[int, OpenRequest] = {}
+        self.jobs: set[str] = set()  # ids of the open ones: none of them goes out for anything else
         self.unanswered = self.taken = 0
 
     @property
@@ -64,6 +65,7 @@
         request.number = self.next
         self.next = self.next % (NUMBERS - 1) + 1
         self.open[request.number] = request
+        self.jobs.add(request.job)
         self.unanswered += 1
         self.taken += 1
 
@@ -80,5 +82,6 @@
         self.settle(request)
 
     def settle(self, request: OpenRequest) -> None:
-        if request.over and all(attempt.ended for attempt in request.attempts):
-            self.open.pop(request.number, None)
+        done = request.over and all(attempt.ended for attempt in request.attempts)
+        if done and self.open.pop(request.number, None) is not None:
+            self.jobs.discard(request.job)
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -25,7 +25,7 @@
 from quincepier.wire.errors import ProtocolError
 
 MAILBOX_MOST = 4096
-GHOSTS_MOST = 1024  # ids given up on one connection whose late answers are passed over
+GHOSTS_MOST = 256  # ids that were out on one connection; none of them goes out there again
 PROBE_WORDS = {"well": Ending.OK, "ill": Ending.ERROR}
 
 
@@ -41,6 +41,7 @@
         self.means, self.checks, self.pool = means, means.checks, means.pool
         self.descriptors, self.module, self.make_room = means.descriptors, means.module, make_room
         self.waiting: deque[asyncio.Future[None]] = deque()
+        self.actors: dict[int, CacheActor] = {}
         self.pool.on_free = self.freed
 
     @property
@@ -53,6 +54,20 @@
             if not room.done():
                 room.set_result(None)
 
+    def share(self) -> int:
+        """How many connections one machine may have while others have some too."""
+        users = sum(1 for actor in self.actors.values() if actor.connections)
+        return max(self.descriptors.caches_most // (users + 1), 1)
+
+    def descriptor(self) -> bool:
+        """Whether there is one for a connection more; the one idle for longest goes where there is none."""
+        if self.descriptors.caches < self.descriptors.caches_most:
+            return True
+        idle = [c for actor in self.actors.values() for c in actor.connections if c.idle]
+        if idle:
+            min(idle, key=lambda c: c.used).close()
+        return bool(idle)
+
     async def room(self, length: int) -> Body:
         """Buffers for so many bytes; nothing more is read from the connection until they are there."""
         while (body := Body.of_length(self.pool, length)) is None:
@@ -73,10 +88,13 @@
         self.open: dict[str, OpenAttempt | Probe] = {}
         self.ghosts: OrderedDict[str, None] = OrderedDict()
         self.outgoing: deque[tuple[OpenAttempt | Probe | None, bytes]] = deque()
-        self.started: set[OpenAttempt | Probe] = set()
+        self.started: set[OpenAttempt | Probe] = set()  # those whose command may have been written whole
         self.wake: asyncio.Future[None] | None = None
         self.lost = self.doubtful = False
-        self.heard, self.used = 0, clock.now()
+        self.heard = 0
+        self.used: int = clock.now()
+        self.between = True  # no answer is half read
+        self.surplus = False  # the one being read is passed over
         self.body: Body | None = None
         self.head: lines.Head | None = None
         self.task: asyncio.Task[None] | None = None
@@ -98,14 +116,30 @@
             self.outgoing = deque(item for item in self.outgoing if item[0] is not attempt)
             return
         self.started.discard(attempt)
-        self.ghosts[id] = None
-        if len(self.ghosts) > GHOSTS_MOST:
-            self.ghosts.popitem(last=False)
+        self.past(id)
         self.write(None, lines.cancel(id))
         # Nothing heard since it went out: the peer may have lost this connection. New ones try it.
         silent = self.heard < attempt.at and clock.now() - attempt.at > self.shared.config.dial_timeout
         self.doubtful = self.doubtful or silent
 
+    def past(self, id: str) -> None:
+        self.ghosts[id] = None
+        if len(self.ghosts) > GHOSTS_MOST:
+            self.ghosts.popitem(last=False)
+
+    @property
+    def idle(self) -> bool:
+        return self.sock is not None and not self.open and not self.outgoing and not self.lost
+
+    def close(self) -> None:
+        self.lost = True
+        if self.task is not None:
+            self.task.cancel()
+
+    def stalled(self, now: int) -> bool:
+        """An answer was begun and has not gone on for as long as a connection may take to come up."""
+        return not self.between and now - self.heard > self.shared.config.dial_timeout
+
     async def run(self) -> None:
         config, work = self.shared.config, list[asyncio.Task[None]]()
         try:
@@ -129,7 +163,10 @@
             self._drop()
 
     def _drop(self) -> None:
-        """The connection is gone: what was never written never ran, of the rest nothing is known."""
+        """The connection is gone: what was not written whole never ran, of the rest nothing is known.
+
+        Where it had been up, that is no sign of how the machine is: a new connection will tell.
+        """
         self.lost = True
         if self in self.actor.connections:
             self.actor.connections.remove(self)
@@ -137,7 +174,8 @@
             self.body.release()
             self.body = None
         for what in list(self.open.values()):
-            ending = Ending.RESET if what in self.started else Ending.CONNECT_FAILED
+            unsent = Ending.CONNECT_FAILED if self.sock is None else Ending.MOOT
+            ending = Ending.RESET if what in self.started else unsent
             self.actor.ended(what, ending, clock.now())
         self.open.clear()
         self.started.clear()
@@ -152,7 +190,12 @@
             what, command = self.outgoing.popleft()
             if what is not None:
                 self.started.add(what)
-            await loop.sock_sendall(sock, command)
+            try:
+                await loop.sock_sendall(sock, command)
+            except OSError:  # its last bytes were not taken
+                if what is not None:
+                    self.started.discard(what)
+                raise
 
     async def _read(self, sock: socket.socket) -> None:
         loop, decoder = asyncio.get_running_loop(), lines.Decoder()
@@ -161,6 +204,7 @@
         try:
             while size := await loop.sock_recv_into(sock, view):
                 at = self.heard = self.used = clock.now()
+                self.between = True  # a wait for buffers is no fault of the machine
                 for item in decoder.feed(view[:size]):
                     match item:
                         case lines.Head():
@@ -169,6 +213,7 @@
                             self.body.append(data)
                         case lines.Whole():
                             self._whole(at)
+                self.between = decoder.between
             if not decoder.between:
                 raise ProtocolError("the connection ends inside an answer")
         finally:
@@ -176,14 +221,13 @@
 
     async def _began(self, head: lines.Head) -> None:
         what = self.open.get(head.id)
-        if what is None and head.id not in self.ghosts:
-            raise ProtocolError(f"an answer under the unknown id {head.id[:40]}")
-        if isinstance(what, Probe) != (head.word in PROBE_WORDS) and what is not None:
+        self.head = head
+        if what is None or what not in self.started:  # a second copy, a late one, or of an id never asked
+            self.surplus = True
+            return
+        self.surplus = False
+        if isinstance(what, Probe) != (head.word in PROBE_WORDS):
             raise ProtocolError(f"the answer {head.word} to another command")
-        if what in self.started or what is None:
-            self.head = head
-        else:
-            raise ProtocolError("an answer to what was not sent")
         if isinstance(what, OpenAttempt) and head.word == "unchanged" and not what.request.known:
             raise ProtocolError("unchanged, though no copy was named")
         if isinstance(what, OpenAttempt) and head.word == "data":
@@ -192,14 +236,15 @@
     def _whole(self, at: int) -> None:
         head, body, self.head, self.body = self.head, self.body, None, None
         assert head is not None
-        what = self.open.pop(head.id, None)
-        if what is None:  # given up before its answer was whole
-            self.ghosts.pop(head.id, None)
-            self.shared.checks.count("late answers dropped")
+        what = None if self.surplus else self.open.pop(head.id, None)
+        if what is None:  # or given up before its answer was whole
+            known = head.id in self.ghosts
+            self.shared.checks.count("late or second answers dropped" if known else "unasked answers dropped")
             if body is not None:
                 body.release()
         else:
             self.started.discard(what)
+            self.past(head.id)
             self.actor.answered(what, head, body, at)
 
 
@@ -245,14 +290,20 @@
         connection.send(id, what, command)
 
     def _connection(self, id: str) -> Connection | None:
-        """The first with a free stream, those that are up before those to be; else a new one."""
-        for wanted_up in (True, False):
-            for c in self.connections:
-                free = len(c.open) < self.shared.config.streams and id not in c.open and id not in c.ghosts
-                if free and not c.lost and not c.doubtful and (c.sock is not None) == wanted_up:
-                    return c
-        if self.shared.descriptors.caches >= self.shared.descriptors.caches_most:
-            return None
+        """One for each while descriptors allow, since a spoilt answer ends all that is out with it.
+
+        The idle one used last; else a new one, within this machine's share; else the one with least on it.
+        """
+        now, streams = clock.now(), self.shared.config.streams
+        able = [c for c in self.connections if not (c.lost or c.doubtful or id in c.ghosts or c.stalled(now))]
+        if idle := [c for c in able if c.idle]:
+            return max(idle, key=lambda c: c.used)
+        if len(self.connections) >= self.shared.share() or not self.shared.descriptor():
+            busy = [c for c in able if len(c.open) < streams and id not in c.open]
+            if busy:
+                return min(busy, key=lambda c: (len(c.open), c.sock is None))
+            if not self.shared.descriptor():
+                return None
         self.shared.descriptors.cache(1)
         connection = Connection(self)
         self.connections.append(connection)
@@ -266,7 +317,7 @@
                 connection.give_up(id, what)
             else:
                 connection.open.pop(id, None)
-                connection.ghosts[id] = None
+                connection.past(id)
             self.ended(what, ending, clock.now())
 
     def _over(self, what: OpenAttempt | Probe) -> None:
@@ -299,9 +350,10 @@
         idle = max(self.shared.config.idle - clock.SECOND, self.shared.config.idle // 2)
         for connection in list(self.connections):
             done = now - connection.used > idle or self.leaving or connection.doubtful
-            if done and not connection.open and connection.sock is not None and connection.task is not None:
-                connection.lost = True
-                connection.task.cancel()
+            if (done and connection.idle) or connection.stalled(now):
+                if not connection.between:
+                    self.checks.event("half an answer of a cache, then nothing", self.host)
+                connection.close()
 
     def move(self, address: tuple[str, int]) -> None:
         """The same host has another address: new connections go there."""
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -14,13 +14,16 @@
 from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, Left
 from quincepier.net.sockets import no_delay
-from quincepier.translate import PING, BadRequest, class_numbers, open_request
+from quincepier.translate import PING, BadRequest, class_table, open_request
 from quincepier.wire import fastcgi
 from quincepier.wire.errors import ProtocolError
 
 MAILBOX_MOST = 64
 BATCH = 65_536  # bytes written at a time
-EXTRA = 16  # connections past the account that are answered OVERLOADED
+# Seconds: to a new connection's first whole request; that one message may take; to a close behind an answer.
+FIRST_WITHIN, WHOLE_WITHIN, CLOSE_WITHIN = 2.0, 2.0, 1.0
+NEW_FOR = 0.5  # seconds in which a connection that has not asked is the last to be closed for a new one
+FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
 
 
 class Shop:
@@ -29,7 +32,7 @@
     def __init__(self, means: Means, standing: Callable[[], bool]) -> None:
         self.checks, self.pool, self.descriptors = means.checks, means.pool, means.descriptors
         self.module, self.standing = means.module, standing
-        self.classes = class_numbers(means.config)
+        self.means, self.classes = means, class_table(means.config)
         self.connections: set[ClientConnection] = set()
         self.bodies, self.bodies_most = 0, means.budget.bodies
 
@@ -45,6 +48,31 @@
             self.checks.event("slow client closed: buffers used up")
             held[0].close()
 
+    def hold(self, connection: ClientConnection) -> None:
+        """Account for what a connection has sent of requests not whole yet; the one that holds most goes."""
+        self.bodies += connection.decoder.held - connection.held
+        connection.held = connection.decoder.held
+        if self.bodies > self.bodies_most and connection.held:
+            self.checks.event("client closed: too much half-sent")
+            max(self.connections, key=lambda c: c.held).close()
+
+    def sweep(self, now: int) -> None:
+        """End the connections that take longer than a client may to ask, to finish asking, or to go."""
+        for connection in list(self.connections):
+            if (why := connection.overdue(now)) is not None:
+                self.checks.event(f"client closed: {why}")
+                connection.close()
+
+    def dispensable(self) -> ClientConnection | None:
+        """Whom to close for a new client: who came and never asked, else who has been idle for longest."""
+        now, idle = clock.now(), [c for c in self.connections if not c.owed and not c.leaving]
+
+        def order(c: ClientConnection) -> tuple[int, int]:
+            new = now - c.since < NEW_FOR * clock.SECOND  # its first request may be on the way
+            return 1 if c.asked else 2 if new else 0, c.moved
+
+        return min(idle, key=order) if idle else None
+
 
 class Outgoing:
     """One answer on its way: records, a piece at a time."""
@@ -87,16 +115,20 @@
 class ClientConnection(Actor[Answer]):
     name = "client"
 
-    def __init__(self, shop: Shop, sock: socket.socket, extra: bool) -> None:
+    def __init__(self, shop: Shop, sock: socket.socket) -> None:
         super().__init__(shop.checks, MAILBOX_MOST)
-        self.shop, self.sock, self.extra = shop, sock, extra
+        self.shop, self.sock = shop, sock
         self.decoder = fastcgi.Decoder(shop.descriptors.clients_most)
         self.open: dict[int, OpenRequest] = {}
         self.keep: dict[int, bool] = {}
         self.sending: deque[Outgoing] = deque()
         self.control: deque[bytes] = deque()
-        self.closed = self.closing = False
-        self.moved = clock.now()  # when bytes last went out or came in
+        self.closed = self.closing = self.leaving = self.asked = False
+        self.deaf = False  # it sent what ends its connection: nothing more is read, what is owed goes out
+        self.moved = self.since = clock.now()  # when bytes last went out or came in; when it came
+        self.held = self.faults = self.closing_at = 0
+        self.unfinished: object = None  # what was half-sent at the last look, and since when
+        self.unfinished_at = 0
 
     def push(self, answer: Answer) -> None:
         if self.closed:
@@ -106,9 +138,24 @@
             self.mailbox.push(answer)
 
     @property
-    def idle(self) -> bool:
-        busy = self.open or self.sending or self.control or len(self.mailbox) or self.decoder.begun
-        return not (busy or self.decoder.buffer)
+    def owed(self) -> bool:
+        """Whether something that was asked here whole is still to be answered."""
+        return bool(self.open or self.sending or self.control or len(self.mailbox))
+
+    def overdue(self, now: int) -> str | None:
+        """Why it is to be closed: times are long for clients that mean to ask, and short for the others."""
+        unfinished = self.decoder.unfinished
+        if unfinished != self.unfinished or unfinished is None:
+            self.unfinished, self.unfinished_at = unfinished, now
+        if self.closing or self.deaf:
+            self.closing_at = self.closing_at or now
+            late = now - self.closing_at > CLOSE_WITHIN * clock.SECOND and not self.open
+            return "its last answer is not taken" if late else None
+        if not self.asked and now - self.since > FIRST_WITHIN * clock.SECOND:
+            return "no whole request in time"
+        if now - self.unfinished_at > WHOLE_WITHIN * clock.SECOND:
+            return "half a request for too long"
+        return None
 
     async def run(self) -> None:
         work = [asyncio.ensure_future(self._read()), asyncio.ensure_future(self._write())]
@@ -128,10 +175,13 @@
 
     def close(self) -> None:
         """End the connection now, whatever is open on it."""
+        self.leaving = True
         self.cancel()
 
     def _drop(self) -> None:
         self.closed = True
+        self.shop.bodies -= self.held
+        self.held = 0
         self.sock.close()
         self.shop.connections.discard(self)
         self.shop.descriptors.client(-1)
@@ -166,7 +216,8 @@
         view = memoryview(buffers[0])
         try:
             while size := await loop.sock_recv_into(self.sock, view):
-                at = self.moved = clock.now()
+                at, faults = clock.now(), self.faults
+                self.moved = at
                 for item in self.decoder.feed(view[:size]):
                     match item:
                         case fastcgi.Call():
@@ -176,25 +227,34 @@
                         case fastcgi.Reply(data, closes):
                             self.control.append(data)
                             self.closing = self.closing or closes
+                            self.deaf = self.deaf or closes
                             self.mailbox.wake()
+                self.shop.hold(self)
+                if self.deaf:
+                    await loop.create_future()
+                if self.faults != faults:  # who goes on sending what can't be used gets little CPU
+                    await asyncio.sleep(min(FAULT_PAUSE * 2 ** min(self.faults, 10), FAULT_PAUSE_MOST))
         finally:
             self.shop.pool.give(buffers)
 
     async def _call(self, call: fastcgi.Call, at: int) -> None:
         self.keep[call.id] = call.keep
+        self.asked = True
         if call.params.get("SCRIPT_NAME") == PING and not call.fault:
             self._say(call.id, cgi_head(200 if self.shop.standing() else 503))
             return
-        if self.extra or self.shop.bodies + len(call.body) > self.shop.bodies_most:
-            self.checks.event("request refused: too much open")
-            self._overloaded(call.id)
-            return
         try:
             request = open_request(call, self.shop.classes, self, at)
         except BadRequest as error:
+            self.faults += 1
+            self.deaf = self.deaf or bool(call.fault)
             self.checks.event("bad request", str(error))
             self._say(call.id, cgi_head(error.status))
             return
+        if self.shop.bodies + len(call.body) > self.shop.bodies_most:
+            self.checks.event("request refused: too much open")
+            self._say(call.id, cgi_head(503, wait_ms=self.shop.means.config.wait_ms))
+            return
         self.open[call.id] = request
         self.shop.bodies += len(request.body)
         await self.shop.module.post(Came(request))
@@ -215,12 +275,6 @@
         self.sending.append(Outgoing(stream, self.keep.pop(stream, True), head, body))
         self.mailbox.wake()
 
-    def _overloaded(self, stream: int) -> None:
-        self.control.append(fastcgi.end(stream, fastcgi.OVERLOADED))
-        self.decoder.close(stream)
-        self.closing = self.closing or not self.keep.pop(stream, True)
-        self.mailbox.wake()
-
     def _take(self, answer: Answer) -> None:
         request = answer.request
         if self.open.get(request.stream) is not request:  # it was aborted as the answer was made
@@ -229,10 +283,7 @@
             return
         del self.open[request.stream]
         self._forget(request)
-        if answer.overloaded:
-            self._overloaded(request.stream)
-        else:
-            self._say(request.stream, cgi_head(answer.status, answer.still, answer.wait_ms), answer.body)
+        self._say(request.stream, cgi_head(answer.status, answer.still, answer.wait_ms), answer.body)
 
     async def _write(self) -> None:
         """Answers take turns, a record each, so that a large one does not delay the small."""
@@ -266,7 +317,7 @@
 
 
 class Listener(Actor[None]):
-    """Accepts clients. Past the account of descriptors the longest idle goes; past that, few are refused."""
+    """Accepts clients. Past the account of descriptors one that is owed nothing goes, else the new one."""
 
     name = "listener"
 
@@ -277,16 +328,6 @@
     async def run(self) -> None:
         loop, descriptors = asyncio.get_running_loop(), self.shop.descriptors
         while True:
-            if descriptors.clients >= descriptors.clients_most:
-                idle = [c for c in self.shop.connections if c.idle]
-                if idle:
-                    self.checks.event("idle client closed: descriptors used up")
-                    longest = min(idle, key=lambda c: c.moved)
-                    longest.close()
-                    await asyncio.wait(longest.tasks)
-                elif descriptors.clients >= descriptors.clients_most + EXTRA:
-                    await asyncio.sleep(0.01)
-                    continue
             try:
                 sock, _ = await loop.sock_accept(self.sock)
                 sock.setblocking(False)
@@ -295,8 +336,17 @@
                 self.checks.event("accept failed", str(error))
                 await asyncio.sleep(0.01)
                 continue
+            if descriptors.clients >= descriptors.clients_most:
+                spared = self.shop.dispensable()
+                if spared is None:
+                    self.checks.event("new client closed: descriptors used up")
+                    sock.close()
+                    continue
+                self.checks.event("idle client closed: descriptors used up")
+                spared.close()
+                if spared.tasks:
+                    await asyncio.wait(spared.tasks)
             descriptors.client(1)
-            extra = descriptors.clients > descriptors.clients_most
-            connection = ClientConnection(self.shop, sock, extra)
+            connection = ClientConnection(self.shop, sock)
             self.shop.connections.add(connection)
             connection.start()
--- a/quincepier/net/messages.py
+++ b/quincepier/net/messages.py
@@ -33,7 +33,6 @@
     body: Body | None = None
     still: bool = False
     wait_ms: int | None = None
-    overloaded: bool = False  # refused by the front to protect itself
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -63,7 +63,7 @@
         self.shared = Shared(self.means, make_room)
         self.directory = Directory(config.zones, config.kinds)
         self.requests = Requests(budget.requests)
-        self.caches: dict[int, CacheActor] = {}
+        self.caches: dict[int, CacheActor] = self.shared.actors
         self.timers: list[tuple[int, int, int]] = []
         self.timers_set = 0
         self.alarm: asyncio.TimerHandle | None = None
@@ -153,7 +153,12 @@
         if self.requests.full:
             self.checks.event("request refused: too many open")
             request.over = True
-            request.owner.push(Answer(request, 503, overloaded=True))
+            request.owner.push(Answer(request, 503, wait_ms=self.means.config.wait_ms))
+            return
+        if request.job in self.requests.jobs:
+            self.checks.event("bad request", "HTTP_X_JOB_ID is that of an open request")
+            request.over = True
+            request.owner.push(Answer(request, 409))
             return
         self.requests.add(request)
         self._tell(request_came(request, clock.now()), request)
@@ -280,6 +285,7 @@
             if cache.leaving and not cache.out and not cache.connections and not len(cache.mailbox):
                 cache.cancel()
                 del self.caches[number]
+        self.directory.forget(self.caches.keys())
 
     def fail_open(self) -> None:
         """The process ends: what is still open is answered as failed, and the module told no more."""
--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -39,7 +39,7 @@
 COLD_BURST = 0.25  # part of a window's earnings that may be saved up
 MORE_ATTEMPTS, EXTRA_SHARE, EXTRA_MOST = 3, 0.2, 40.0  # a request's further ones; earned by a first; saved up
 WORK_NEW = 0.02  # least weight of a new answer in the mean sending time of a class; first all count alike
-MEMORY_MOST = 20_000  # entries of any memory that requests fill; the oldest go first
+MEMORY_MOST = 4096  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
 RAN_NOT = frozenset((Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT, Ending.MISS))  # prove it never ran
 SOURCE_FAULTS = (Note.SOURCE_REFUSED, Note.SOURCE_BROKEN, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
@@ -56,10 +56,10 @@
     return h
 
 
-def remember(memory: OrderedDict[tuple[int, int], int], key: tuple[int, int], when: int) -> None:
+def remember(memory: OrderedDict[tuple[int, int], int], key: tuple[int, int], when: int, since: int) -> None:
     memory[key] = when
     memory.move_to_end(key)
-    if len(memory) > MEMORY_MOST:
+    while memory and (len(memory) > MEMORY_MOST or next(iter(memory.values())) < since):
         memory.popitem(last=False)
 
 
@@ -128,8 +128,8 @@
             case io.ListNews():
                 self.listed(event)
             case io.Purged(group, obj, ago):
-                key = (0, obj) if obj else (1, group)
-                remember(self.purges, key, max(now - ago, self.purges.get(key, 0)))
+                key, since = (0, obj) if obj else (1, group), now - self.s.purge_settles - 2 * SECOND
+                remember(self.purges, key, max(now - ago, self.purges.get(key, 0)), since)
             case io.StreamBegan(request, attempt) if request in self.requests:
                 req = self.requests[request]
                 self.call_off(a for a in req.open.values() if a.no != attempt)
@@ -384,7 +384,7 @@
     def again(self, req: Request, attempt: Attempt, e: io.AttemptEnded) -> None:
         """After an attempt that served nothing: another one, while it can help and what ran allows it."""
         node, source = attempt.node, attempt.source
-        req.avoid += [source or node] if e.note in SOURCE_FAULTS else [node]
+        req.avoid += [source or node] if e.note in SOURCE_FAULTS else [node] * (e.ending is not Ending.MOOT)
         if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
             req.avoid += [source]  # not told whose fault it was: change both
         useless = attempt.look and e.ending is Ending.MISS or req.deadline - self.now < self.work[req.e.cls]
@@ -416,7 +416,7 @@
             new = PACE_NEW if sure else PACE_NEW / 2
             node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
         if from_cache:
-            remember(self.hits, (node.member.cache, attempt.req.key), self.now)
+            remember(self.hits, (node.member.cache, attempt.req.key), self.now, self.now - HIT_MEMORY)
             slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
             own = self.told(attempt.req) or e.elapsed / max(slowed, 1.0)  # a full link is shared
             self.samples[n := attempt.req.e.cls] += 1
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -17,9 +17,10 @@
 
 PATH = "/call/"
 PING = "/ping"
-HEX_16 = re.compile(r"[0-9a-fA-F]{16}")
+HEX_16 = re.compile(r"[0-9a-f]{16}")
 WHOLE = re.compile(r"[0-9]{1,10}")
-ALLOW_MOST, PART_MOST, GROUP_MOST = 3_600_000, 0xFFFFFFFF, 255
+PART_MOST, GROUP_MOST = 0xFFFF, 255
+ALLOW_TIMES = 2  # of its class's deadline: what a client may say at most that it waits
 ENDINGS = {
     "data": Ending.OK,
     "unchanged": Ending.OK,
@@ -59,14 +60,14 @@
     return value
 
 
-def _whole(params: Mapping[str, str], name: str, least: int, most: int, absent: str | None = None) -> int:
-    value = int(_matched(params, name, WHOLE, absent))
+def _whole(params: Mapping[str, str], name: str, least: int, most: int) -> int:
+    value = int(_matched(params, name, WHOLE))
     if not least <= value <= most:
         raise BadRequest(400, f"{name} is not between {least} and {most}")
     return value
 
 
-def open_request(call: Call, classes: Mapping[str, int], owner: Owner, came: int) -> OpenRequest:
+def open_request(call: Call, classes: Mapping[str, tuple[int, int]], owner: Owner, came: int) -> OpenRequest:
     """A call as taken; raises BadRequest where it is not of the stated form."""
     if call.fault:
         raise BadRequest(413 if "body" in call.fault else 400, call.fault)
@@ -75,20 +76,27 @@
     name = path.removeprefix(PATH)
     if not path.startswith(PATH) or name not in classes:
         raise BadRequest(404, "the path names no class")
+    number, deadline = classes[name]
+    length = params.get("CONTENT_LENGTH") or str(len(call.body))
+    if not WHOLE.fullmatch(length) or int(length) != len(call.body):
+        raise BadRequest(400, "CONTENT_LENGTH is not the length of the body")
+    again = params.get("HTTP_X_AGAIN", "")
+    if again not in ("", "1"):
+        raise BadRequest(400, "HTTP_X_AGAIN is not of the stated form")
     item = _matched(params, "HTTP_X_ITEM", HEX_16)
     return OpenRequest(
         owner=owner,
         stream=call.id,
         job=_matched(params, "HTTP_X_JOB_ID", HEX_16),
-        cls=classes[name],
+        cls=number,
         class_name=name,
         item=item,
         object=int(item, 16),
-        part=_whole(params, "HTTP_X_N", 0, PART_MOST, "0"),
-        group=_whole(params, "HTTP_X_SHARD", 0, GROUP_MOST, "0"),
-        repeat=params.get("HTTP_X_AGAIN") == "1",
+        part=_whole(params, "HTTP_X_N", 0, PART_MOST),
+        group=_whole(params, "HTTP_X_SHARD", 0, GROUP_MOST),
+        repeat=again == "1",
         known=_matched(params, "HTTP_X_MINE", HEX_16, ""),
-        allow=_whole(params, "HTTP_X_ALLOW_MS", 0, ALLOW_MOST) * clock.MS,
+        allow=_whole(params, "HTTP_X_ALLOW_MS", 1, ALLOW_TIMES * deadline // clock.MS) * clock.MS,
         came=came,
         body=call.body,
     )
@@ -160,5 +168,6 @@
     return fields
 
 
-def class_numbers(config: FrontConfig) -> dict[str, int]:
-    return {name: n for n, name in enumerate(config.classes)}
+def class_table(config: FrontConfig) -> dict[str, tuple[int, int]]:
+    """By name: the number and the deadline of a class."""
+    return {name: (n, config.settings.classes[n].deadline) for n, name in enumerate(config.classes)}
--- a/quincepier/wire/fastcgi.py
+++ b/quincepier/wire/fastcgi.py
@@ -18,6 +18,7 @@
 RECORD_MOST = 16_384  # bytes of content in a STDOUT record, so that answers take turns
 PARAMS_MOST, BODY_MOST = 16_384, 48_000  # bytes of one request that are kept
 OPEN_MOST = 32  # requests open at a time on one connection
+STRAY_MOST = 1024  # records that belong to no request, between two that do
 
 
 @dataclass(slots=True)
@@ -46,7 +47,7 @@
 
 class _Begun:
     def __init__(self, keep: bool) -> None:
-        self.keep, self.fault, self.params_ended = keep, "", False
+        self.keep, self.params_ended = keep, False
         self.params, self.body = bytearray(), bytearray()
 
 
@@ -81,7 +82,10 @@
         if at + name_size + size > len(data):
             raise ProtocolError("a parameter runs past its record stream")
         name, value = data[at : at + name_size], data[at + name_size : at + name_size + size]
-        pairs[name.decode("latin-1")] = value.decode("latin-1")
+        key = name.decode("latin-1")
+        if key in pairs:
+            raise ProtocolError(f"the parameter {key[:40]!r} twice")
+        pairs[key] = value.decode("latin-1")
         at += name_size + size
     return pairs
 
@@ -102,6 +106,8 @@
     def __init__(self, connections_most: int = 1) -> None:
         self.buffer = bytearray()
         self.begun: dict[int, _Begun] = {}
+        self.skip = 0  # bytes of a record still to come that are passed over, unread and unkept
+        self.records = self.strays = 0
         self.answering: set[int] = set()
         self.values = {
             "FCGI_MAX_CONNS": str(connections_most),
@@ -113,21 +119,71 @@
         """A request taken here has its final answer, or needs none."""
         self.answering.discard(request)
 
+    @property
+    def held(self) -> int:
+        """Bytes kept of what is not whole yet."""
+        return len(self.buffer) + sum(len(b.params) + len(b.body) for b in self.begun.values())
+
+    @property
+    def unfinished(self) -> object:
+        """What has been incomplete for longest, or None; the same object as long as it is that."""
+        if self.begun:
+            return next(iter(self.begun.values()))
+        return self.records + 1 if self.buffer or self.skip else None
+
     def feed(self, data: bytes | bytearray | memoryview) -> list[Call | Aborted | Reply]:
         buffer, at, found = self.buffer, 0, list[Call | Aborted | Reply]()
         buffer += data
-        while len(buffer) - at >= HEADER.size:
+        while True:
+            passed = min(self.skip, len(buffer) - at)
+            self.skip, at = self.skip - passed, at + passed
+            if self.skip or len(buffer) - at < HEADER.size:
+                break
             version, kind, request, size, padding = HEADER.unpack_from(buffer, at)
             if version != 1:
                 raise ProtocolError(f"FastCGI version {version}, not 1")
             start = at + HEADER.size
+            if (fault := self._too_much(kind, request, size)) is not None:
+                found += fault
+                self.records, self.skip, at = self.records + 1, size + padding, start
+                continue
             if len(buffer) < start + size + padding:
                 break
             found += self._record(kind, request, bytes(buffer[start : start + size]))
-            at = start + size + padding
+            self.records, at = self.records + 1, start + size + padding
         del buffer[:at]
         return found
 
+    def _too_much(self, kind: int, request: int, size: int) -> list[Call | Aborted | Reply] | None:
+        """What to say, by its head alone, of a record that is not to be kept; None for one that is."""
+        if request == 0:
+            if size > PARAMS_MOST:
+                raise ProtocolError(f"a management record of {size} bytes")
+            self._stray()
+            return None
+        call = self.begun.get(request)
+        if kind in (BEGIN, ABORT):
+            return None
+        if call is None or kind not in (PARAMS, STDIN):
+            self._stray()  # of no open request: passed over, as the specification says
+            return []
+        if kind == PARAMS and len(call.params) + size > PARAMS_MOST:
+            return self._refused(request, call, f"parameters over {PARAMS_MOST} bytes")
+        if kind == STDIN and len(call.body) + size > BODY_MOST:
+            return self._refused(request, call, f"a body over {BODY_MOST} bytes")
+        return None
+
+    def _stray(self) -> None:
+        self.strays += 1
+        if self.strays > STRAY_MOST:
+            raise ProtocolError(f"over {STRAY_MOST} records of no request")
+
+    def _refused(self, request: int, call: _Begun, fault: str) -> list[Call | Aborted | Reply]:
+        """Its end is not waited for, as it may never come; the connection closes behind the answer."""
+        del self.begun[request]
+        self.answering.add(request)
+        return [Call(request, {}, b"", False, fault)]
+
     def _record(self, kind: int, request: int, content: bytes) -> list[Call | Aborted | Reply]:
         if request == 0:
             return [self._managed(kind, content)]
@@ -139,7 +195,8 @@
             return [Aborted(request)] if known else []
         call = self.begun.get(request)
         if call is None or kind not in (PARAMS, STDIN):
-            return []  # records of requests that are not open are passed over, as the specification says
+            return []
+        self.strays = 0
         if kind == PARAMS:
             return self._params(call, content)
         if not call.params_ended:
@@ -148,10 +205,7 @@
             del self.begun[request]
             self.answering.add(request)
             return [self._whole(request, call)]
-        if len(call.body) + len(content) > BODY_MOST:
-            call.fault = call.fault or f"a body over {BODY_MOST} bytes"
-        else:
-            call.body += content
+        call.body += content
         return []
 
     def _params(self, call: _Begun, content: bytes) -> list[Call | Aborted | Reply]:
@@ -159,20 +213,18 @@
             raise ProtocolError("PARAMS after their end")
         if not content:
             call.params_ended = True
-        elif len(call.params) + len(content) > PARAMS_MOST:
-            call.fault = call.fault or f"parameters over {PARAMS_MOST} bytes"
         else:
             call.params += content
         return []
 
     def _whole(self, request: int, call: _Begun) -> Call:
         params: dict[str, str] = {}
-        if not call.fault:
-            try:
-                params = read_pairs(call.params)
-            except ProtocolError as error:
-                call.fault = str(error)
-        return Call(request, params, bytes(call.body), call.keep, call.fault)
+        fault = ""
+        try:
+            params = read_pairs(call.params)
+        except ProtocolError as error:
+            fault = str(error)
+        return Call(request, params, bytes(call.body), call.keep, fault)
 
     def _begin(self, request: int, content: bytes) -> list[Call | Aborted | Reply]:
         if len(content) != BEGIN_BODY.size:
