--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -151,8 +151,11 @@
                 task.result()
         except ProtocolError as error:
             self.shared.checks.event("bad answer of a cache", f"{self.actor.host}: {error}")
-        except OSError:  # refused, reset, or not up in time: told by how its attempts end
-            pass
+        except TimeoutError:
+            self.shared.checks.count("cache connections not up in time")
+        except OSError:  # told to the module by how its attempts end
+            broke = "refused" if self.sock is None else "reset"
+            self.shared.checks.count(f"cache connections {broke}")
         finally:
             for task in work:
                 task.cancel()
