--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -145,6 +145,7 @@
     part: int
     repeat: bool
     time_left: int
+    waited: int = 0  # for its turn at this front: more than a little says that the front is behind
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -112,7 +112,7 @@
 
     async def _upkeep(self) -> None:
         """Sweep overdue and idle connections, watch the loop's lag, tell counters that moved."""
-        ticks = 0
+        ticks, swept = 0, clock.now()
         while True:
             before = clock.now()
             await asyncio.sleep(TICK)
@@ -120,8 +120,11 @@
             ticks += 1
             try:
                 if ticks % SWEEP_EVERY == 0:
-                    self.shop.sweep(clock.now())
-                    self.module.sweep(clock.now())
+                    now = clock.now()
+                    late = now - swept > 1.5 * SWEEP_EVERY * TICK * clock.SECOND  # by the front's own fault
+                    self.shop.sweep(now, 0 if late else now - swept)
+                    self.module.sweep(now, late)
+                    swept = now
             except Exception as error:
                 self.checks.event("exception in the upkeep", f"{type(error).__name__}: {error}")
             if ticks % TELL_EVERY == 0 and (moved := self.checks.changed()):
--- a/quincepier/net/actor.py
+++ b/quincepier/net/actor.py
@@ -13,35 +13,41 @@
 
 
 class Mailbox(Generic[M]):
-    """A bounded queue. `post` waits for room, which holds the sender back; `offer` never waits."""
+    """Three bounded queues, taken in order: what must not wait, what is under way, and new work."""
 
     def __init__(self, most: int) -> None:
         self.most = most
         self.queue: deque[M] = deque()
+        self.first: deque[M] = deque()  # taken before all others, and after all others
+        self.last: deque[M] = deque()
         self.reader: asyncio.Future[None] | None = None
-        self.writers: deque[asyncio.Future[None]] = deque()
 
     def __len__(self) -> int:
-        return len(self.queue)
+        return len(self.queue) + len(self.first) + len(self.last)
 
     def offer(self, message: M) -> bool:
         """Whether there was room for the message."""
-        if len(self.queue) >= self.most:
+        if len(self) >= self.most:
             return False
         self.queue.append(message)
         self.wake()
         return True
 
-    def push(self, message: M) -> None:
-        """Take a message whatever is queued: for those whose number is bounded by what is open."""
-        self.queue.append(message)
+    def urge(self, message: M) -> None:
+        """For what must not wait behind anything else."""
+        self.first.append(message)
         self.wake()
 
-    async def post(self, message: M) -> None:
-        while len(self.queue) >= self.most:
-            room = asyncio.get_running_loop().create_future()
-            self.writers.append(room)
-            await room
+    def add(self, message: M) -> bool:
+        """For new work, which waits for all that is under way; whether there was room for it."""
+        if len(self.last) >= self.most:
+            return False
+        self.last.append(message)
+        self.wake()
+        return True
+
+    def push(self, message: M) -> None:
+        """Take a message whatever is queued: for those whose number is bounded by what is open."""
         self.queue.append(message)
         self.wake()
 
@@ -51,19 +57,14 @@
             self.reader.set_result(None)
 
     def take(self) -> M | None:
-        if not self.queue:
+        lane = self.first or self.queue or self.last
+        if not lane:
             return None
-        message = self.queue.popleft()
-        while self.writers:
-            room = self.writers.popleft()
-            if not room.done():
-                room.set_result(None)
-                break
-        return message
+        return lane.popleft()
 
     async def wait(self) -> None:
         """Until there is a message or a wake."""
-        if not self.queue:
+        if not len(self):
             self.reader = asyncio.get_running_loop().create_future()
             try:
                 await self.reader
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -18,7 +18,7 @@
 from quincepier.memory.requests import OpenAttempt
 from quincepier.net.actor import Actor
 from quincepier.net.means import Means
-from quincepier.net.messages import CallOff, Check, Checked, Ended, Leave, Send, ToCache
+from quincepier.net.messages import CallOff, Check, Checked, Ended, Leave, Recall, Send, ToCache
 from quincepier.net.sockets import connect
 from quincepier.translate import ENDINGS, note_of, report_of, waited_of
 from quincepier.wire import lines
@@ -268,6 +268,9 @@
                 self._send(attempt.request.job, attempt, command, timeout)
             case CallOff(attempt):
                 self._give_up(attempt, Ending.CANCELLED)
+            case Recall(attempt):
+                if attempt in self.out and attempt not in self.out[attempt][1].started:
+                    self._give_up(attempt, Ending.MOOT)
             case Check(gauges):
                 self.probes += 1
                 tag = f"probe{self.probes}"
@@ -348,12 +351,12 @@
             end = Ended(what, ENDINGS[head.word], at, note_of(head), waited_of(head), report, body, still)
             self.shared.module.push(end)
 
-    def sweep(self, now: int) -> None:
+    def sweep(self, now: int, late: bool) -> None:
         """Close what has been idle for as long as the settings say, less a second to be the first."""
         idle = max(self.shared.config.idle - clock.SECOND, self.shared.config.idle // 2)
         for connection in list(self.connections):
             done = now - connection.used > idle or self.leaving or connection.doubtful
-            if (done and connection.idle) or connection.stalled(now):
+            if (done and connection.idle) or (not late and connection.stalled(now)):
                 if not connection.between:
                     self.checks.event("half an answer of a cache, then nothing", self.host)
                 connection.close()
--- a/quincepier/net/changes.py
+++ b/quincepier/net/changes.py
@@ -69,7 +69,7 @@
                         self.moved = False
                         self._close()
                         continue
-                    await self._take(*decode_changes(self.polling.result()))
+                    self._take(*decode_changes(self.polling.result()))
                     self.failures = 0
                 except Exception as error:  # whatever it is, it is tried again
                     self._close()
@@ -111,7 +111,7 @@
             self._close()
         return bytes(response.body)
 
-    async def _take(self, last: int, events: tuple[ChangeEvent, ...]) -> None:
+    def _take(self, last: int, events: tuple[ChangeEvent, ...]) -> None:
         """Pass on what is new, once, in order; at a gap or a bad record ask again, a few times."""
         for event in events:
             if event.seq <= self.last:
@@ -121,7 +121,7 @@
             if isinstance(event, BadRecord):
                 self._again(f"event {event.seq}: {event.why}")
             else:
-                await self.module.post(News(event))
+                self.module.urge(News(event))
             self.last, self.tries = event.seq, 0
         if last > self.last and not events:
             self._again(f"events {self.last + 1} to {last} are missing")
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -56,10 +56,10 @@
             self.checks.event("client closed: too much half-sent")
             max(self.connections, key=lambda c: c.held).close()
 
-    def sweep(self, now: int) -> None:
+    def sweep(self, now: int, since: int) -> None:
         """End the connections that take longer than a client may to ask, to finish asking, or to go."""
         for connection in list(self.connections):
-            if (why := connection.overdue(now)) is not None:
+            if (why := connection.overdue(now, since)) is not None:
                 self.checks.event(f"client closed: {why}")
                 connection.close()
 
@@ -127,8 +127,8 @@
         self.deaf = False  # it sent what ends its connection: nothing more is read, what is owed goes out
         self.moved = self.since = clock.now()  # when bytes last went out or came in; when it came
         self.held = self.faults = self.closing_at = 0
-        self.unfinished: object = None  # what was half-sent at the last look, and since when
-        self.unfinished_at = 0
+        self.unfinished: object = None  # what was half-sent at the last look, and for how long
+        self.unfinished_for = 0
 
     def push(self, answer: Answer) -> None:
         if self.closed:
@@ -142,18 +142,18 @@
         """Whether something that was asked here whole is still to be answered."""
         return bool(self.open or self.sending or self.control or len(self.mailbox))
 
-    def overdue(self, now: int) -> str | None:
-        """Why it is to be closed: times are long for clients that mean to ask, and short for the others."""
+    def overdue(self, now: int, since: int) -> str | None:
+        """Why it is to be closed. Time in which the front itself was late does not count against it."""
         unfinished = self.decoder.unfinished
-        if unfinished != self.unfinished or unfinished is None:
-            self.unfinished, self.unfinished_at = unfinished, now
+        same = unfinished is not None and unfinished == self.unfinished
+        self.unfinished, self.unfinished_for = unfinished, self.unfinished_for + since if same else 0
         if self.closing or self.deaf:
             self.closing_at = self.closing_at or now
             late = now - self.closing_at > CLOSE_WITHIN * clock.SECOND and not self.open
             return "its last answer is not taken" if late else None
         if not self.asked and now - self.since > FIRST_WITHIN * clock.SECOND:
             return "no whole request in time"
-        if now - self.unfinished_at > WHOLE_WITHIN * clock.SECOND:
+        if self.unfinished_for > WHOLE_WITHIN * clock.SECOND and not self.owed:
             return "half a request for too long"
         return None
 
@@ -221,9 +221,9 @@
                 for item in self.decoder.feed(view[:size]):
                     match item:
                         case fastcgi.Call():
-                            await self._call(item, at)
+                            self._call(item, at)
                         case fastcgi.Aborted(stream):
-                            await self._abort(stream)
+                            self._abort(stream)
                         case fastcgi.Reply(data, closes):
                             self.control.append(data)
                             self.closing = self.closing or closes
@@ -237,7 +237,7 @@
         finally:
             self.shop.pool.give(buffers)
 
-    async def _call(self, call: fastcgi.Call, at: int) -> None:
+    def _call(self, call: fastcgi.Call, at: int) -> None:
         self.keep[call.id] = call.keep
         self.asked = True
         if call.params.get("SCRIPT_NAME") == PING and not call.fault:
@@ -255,11 +255,14 @@
             self.checks.event("request refused: too much open")
             self._say(call.id, cgi_head(503, wait_ms=self.shop.means.config.wait_ms))
             return
+        if not self.shop.module.add(Came(request)):
+            self.checks.event("request refused: too many waiting")
+            self._say(call.id, cgi_head(503, wait_ms=self.shop.means.config.wait_ms))
+            return
         self.open[call.id] = request
         self.shop.bodies += len(request.body)
-        await self.shop.module.post(Came(request))
 
-    async def _abort(self, stream: int) -> None:
+    def _abort(self, stream: int) -> None:
         self.keep.pop(stream, None)
         for outgoing in [o for o in self.sending if o.stream == stream]:
             self.sending.remove(outgoing)
@@ -267,7 +270,7 @@
         request = self.open.pop(stream, None)
         if request is not None:
             self._forget(request)
-            await self.shop.module.post(Left(request))
+            self.shop.module.push(Left(request))
 
     # Out
 
--- a/quincepier/net/messages.py
+++ b/quincepier/net/messages.py
@@ -51,6 +51,13 @@
     attempt: OpenAttempt
 
 
+@dataclass(slots=True, frozen=True)
+class Recall:
+    """Module to cache: a command not written yet is not to be written as it stands."""
+
+    attempt: OpenAttempt
+
+
 @dataclass(slots=True, frozen=True)
 class Check:
     """Module to cache: a probe, of its load or of its life alone."""
@@ -95,5 +102,5 @@
 
 
 FromClient = Came | Left
-ToCache = Send | CallOff | Check | Leave
+ToCache = Send | CallOff | Recall | Check | Leave
 ToModule = Came | Left | Ended | Checked | News
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -31,6 +31,7 @@
     Leave,
     Left,
     News,
+    Recall,
     Send,
     ToModule,
 )
@@ -97,7 +98,9 @@
             case Came(request):
                 self._came(request)
             case Left(request):
-                if not request.over:
+                if request.number < 0:  # its turn has not come yet
+                    request.over = True
+                elif not request.over:
                     self.requests.finish(request)
                     self._tell(io.ClientLeft(request.number))
             case Ended():
@@ -150,6 +153,8 @@
             self._tell(self.later.popleft())
 
     def _came(self, request: OpenRequest) -> None:
+        if request.over:  # the client left as it waited
+            return
         if self.requests.full:
             self.checks.event("request refused: too many open")
             request.over = True
@@ -177,6 +182,7 @@
     def _news(self, event: ChangeEvent, scope: ListScope) -> None:
         if isinstance(event, PurgeRecord):
             self._tell(purged(event))
+            self._recall(event)
         elif isinstance(event, FleetChange):
             if event.whole and scope is ListScope.CHANGES:
                 scope = ListScope.FULL
@@ -191,6 +197,14 @@
         elif isinstance(event, BadRecord):
             self.checks.event("bad record of the change log", event.why)
 
+    def _recall(self, purge: PurgeRecord) -> None:
+        """What was decided before this purge and is not written yet goes back to the module."""
+        for request in list(self.requests.open.values()):
+            if request.object == purge.object or (purge.object is None and request.group == purge.group):
+                for attempt in request.attempts:
+                    if not attempt.ended and (cache := self.caches.get(attempt.cache)) is not None:
+                        cache.mailbox.push(Recall(attempt))
+
     def _follow_list(self) -> None:
         """An actor for every machine on the list; those of machines off it end when nothing is open."""
         listed = {number: record for number, record in self.directory.listed()}
@@ -279,9 +293,9 @@
 
     # Upkeep
 
-    def sweep(self, now: int) -> None:
+    def sweep(self, now: int, late: bool) -> None:
         for number, cache in list(self.caches.items()):
-            cache.sweep(now)
+            cache.sweep(now, late)
             if cache.leaving and not cache.out and not cache.connections and not len(cache.mailbox):
                 cache.cancel()
                 del self.caches[number]
--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -29,6 +29,7 @@
 PACE_NEW, PACE_FADE = 0.3, 2 * SECOND  # weight of a sign of how slow a machine is; it fades by half in
 PACE_GUESS = 4.0  # most that a hit of untold size says of it, at half the weight: large objects look slow
 HOLD_PART, HOLD_SCAN = 0.15, 16  # longest hold, as part of the wanted time; held objects looked through
+TURN_PART = 0.2  # of the wanted time, over 1 + tier: how long a busy front may keep a request from its turn
 SPARE = 0.5  # part of the bound that must be free for a fill at a second cache, as that is one more copy
 HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
 WATCH_EVERY = 100 * MS  # between looks for overdue attempts; one this much late shows our own standstill
@@ -89,7 +90,7 @@
         self.sent, self.held, self.begun = 0, False, False
         self.first_ran: tuple[int, io.Member] | None = None  # when and where one first may have run
         self.avoid: list[Node] = []
-        self.key = mix(e.object, e.part)
+        self.key, self.told = mix(e.object, e.part), 0.0  # its sending time, where sizes are told
 
 
 class Router:
@@ -173,12 +174,14 @@
             tier = 2 if saved < 1 and self.s.over_share_worth < 1 else tier
             self.quota[e.tenant] = (max(saved - 1, 0.0), self.now)
         req = self.requests[e.request] = Request(e, self.s.classes[e.cls], tier, self.now)
+        req.told = e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
-        if e.time_left > self.s.step:
+        behind = e.waited > TURN_PART * req.cls.on_time / (1 + tier) and not req.cls.never_kept
+        if behind or e.time_left <= self.s.step:  # refused while that costs little, the lowest tier first
+            self.give_up(req)
+        else:
             self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
             self.route(req)
-        else:  # it waited for this front, which stood still: no time is left to try
-            self.give_up(req)
 
     def close(self, req: Request) -> None:
         """Forget a request that has its final answer; what is still out for it is called off."""
@@ -323,10 +326,9 @@
         attempt = Attempt(req, req.sent, now, node, source if source is not node else None)
         attempt.look = look = source is node and node in self.edges  # a cache as its own source fills nothing
         attempt.fill = not (look or req.cls.never_kept or self.known(node, req))
-        attempt.work = self.work[e.cls]
         req.open[req.sent] = self.attempts[e.request, req.sent] = attempt
         req.sent += 1
-        self.fills += attempt.fill
+        self.fills, attempt.work = self.fills + attempt.fill, self.work[e.cls]
         self.fill_at = now + int(self.rest) if attempt.fill else self.fill_at
         node.recent.append(e.object)
         for machine in filter(None, (node, attempt.source)):
@@ -360,10 +362,7 @@
 
     def work_of(self, req: Request) -> float:
         """Sending time of a request: its own where sizes are told, else the class's mean."""
-        return max(self.told(req) or self.work[req.e.cls], MS)
-
-    def told(self, req: Request) -> float:
-        return req.e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
+        return max(req.told or self.work[req.e.cls], MS)
 
     def ended(self, e: io.AttemptEnded) -> None:
         if (attempt := self.attempts.pop((e.request, e.attempt), None)) is None:
@@ -411,14 +410,14 @@
         if node.member.zone == self.s.zone and "link" in reported:
             self.link, self.link_at = reported["link"], self.now
         told = reported.get("in flight", 0.0) / node.size
-        own, sure = e.elapsed / self.work_of(attempt.req) * from_cache, told > 0 or self.told(attempt.req) > 0
+        own, sure = e.elapsed / self.work_of(attempt.req) * from_cache, told > 0 or attempt.req.told > 0
         if (seen := max(told, own if sure else min(own, PACE_GUESS))) > 0:
             new = PACE_NEW if sure else PACE_NEW / 2
             node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now, self.now - HIT_MEMORY)
             slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
-            own = self.told(attempt.req) or e.elapsed / max(slowed, 1.0)  # a full link is shared
+            own = attempt.req.told or e.elapsed / max(slowed, 1.0)  # a full link is shared
             self.samples[n := attempt.req.e.cls] += 1
             self.work[n] += max(WORK_NEW, 1 / self.samples[n]) * (own - self.work[n])
         if attempt.fill:
@@ -525,11 +524,11 @@
         """The held object most waited for of those that may leave now, else the first of them."""
         best = None
         for queue in islice(queues.values(), HOLD_SCAN):
-            node = self.place(queue[0])
-            full = node is not None and self.crowded(node, queue[0])
-            may = not full and (not self.full(queue[0]) or node is not None and self.known(node, queue[0]))
-            if may and (best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY):
-                best = queue
+            if best is None or len(queue) // BOOST_EVERY > len(best) // BOOST_EVERY:
+                req, node = queue[0], self.place(queue[0])
+                full = node is not None and self.crowded(node, req)
+                may = not full and (not self.full(req) or node is not None and self.known(node, req))
+                best = queue if may else best
         return best
 
     def log(self, text: str) -> None:
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -104,9 +104,9 @@
 
 def request_came(request: OpenRequest, now: int) -> io.RequestCame:
     """The time left counts from when the request was there, not from when its turn came."""
-    left = max(request.allow - (now - request.came), 0)
-    r = request
-    return io.RequestCame(r.number, r.cls, 0.0, 0, r.group, r.object, r.part, r.repeat, left)
+    r, waited = request, max(now - request.came, 0)
+    left = max(r.allow - waited, 0)
+    return io.RequestCame(r.number, r.cls, 0.0, 0, r.group, r.object, r.part, r.repeat, left, waited)
 
 
 def purged(record: PurgeRecord) -> io.Purged:
--- a/quincepier/wire/fastcgi.py
+++ b/quincepier/wire/fastcgi.py
@@ -64,29 +64,29 @@
     return record(STDOUT, request, b"") + end(request)
 
 
-def _pair_length(data: bytes | bytearray, at: int) -> tuple[int, int]:
-    if at >= len(data):
-        raise ProtocolError("a parameter's length is cut short")
-    if data[at] < 128:
-        return data[at], at + 1
-    if at + 4 > len(data):
-        raise ProtocolError("a parameter's length is cut short")
-    return int.from_bytes(data[at : at + 4], "big") & 0x7FFFFFFF, at + 4
-
-
 def read_pairs(data: bytes | bytearray) -> dict[str, str]:
-    pairs, at = {}, 0
-    while at < len(data):
-        name_size, at = _pair_length(data, at)
-        size, at = _pair_length(data, at)
-        if at + name_size + size > len(data):
+    raw, text, at, size = bytes(data), data.decode("latin-1"), 0, len(data)
+    pairs: dict[str, str] = {}
+    while at < size:
+        ends = []
+        for _ in range(2):
+            if at < size and raw[at] < 128:
+                ends.append(raw[at])
+                at += 1
+            elif at + 4 <= size:
+                ends.append(int.from_bytes(raw[at : at + 4], "big") & 0x7FFFFFFF)
+                at += 4
+            else:
+                raise ProtocolError("a parameter's length is cut short")
+        middle = at + ends[0]
+        end = middle + ends[1]
+        if end > size:
             raise ProtocolError("a parameter runs past its record stream")
-        name, value = data[at : at + name_size], data[at + name_size : at + name_size + size]
-        key = name.decode("latin-1")
-        if key in pairs:
-            raise ProtocolError(f"the parameter {key[:40]!r} twice")
-        pairs[key] = value.decode("latin-1")
-        at += name_size + size
+        name = text[at:middle]
+        if name in pairs:
+            raise ProtocolError(f"the parameter {name[:40]!r} twice")
+        pairs[name] = text[middle:end]
+        at = end
     return pairs
 
 
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -300,3 +300,14 @@
     before = len(bench.log)
     bench.wait(SECOND)
     assert sum(isinstance(a, io.SetTimer) for _, a in bench.log[before:]) <= 10
+
+
+def test_a_front_that_is_behind_refuses_the_lowest_tier_first_and_a_write_last() -> None:
+    classes = (make_class(worth=2.0), make_class(on_time=250 * MS), UNSAFE)
+
+    def turned_away(cls: int, waited: int) -> bool:
+        return bool(refused(Bench(make_settings(classes=classes)).ask(1, cls, waited=waited)))
+
+    assert not turned_away(1, 10 * MS) and turned_away(1, 40 * MS)
+    assert not turned_away(0, 40 * MS) and turned_away(0, 200 * MS)
+    assert not turned_away(2, 200 * MS)
