--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -90,7 +90,7 @@
         self.outgoing: deque[tuple[OpenAttempt | Probe | None, bytes]] = deque()
         self.started: set[OpenAttempt | Probe] = set()  # those whose command may have been written whole
         self.wake: asyncio.Future[None] | None = None
-        self.lost = self.doubtful = False
+        self.lost = self.doubtful = self.absent = False
         self.heard = 0
         self.used: int = clock.now()
         self.between = True  # no answer is half read
@@ -152,10 +152,13 @@
         except ProtocolError as error:
             self.shared.checks.event("bad answer of a cache", f"{self.actor.host}: {error}")
         except TimeoutError:
+            self.absent = True
             self.shared.checks.count("cache connections not up in time")
+        except ConnectionRefusedError:
+            self.absent = True
+            self.shared.checks.count("cache connections refused")
         except OSError:  # told to the module by how its attempts end
-            broke = "refused" if self.sock is None else "reset"
-            self.shared.checks.count(f"cache connections {broke}")
+            self.shared.checks.count("cache connections reset")
         finally:
             for task in work:
                 task.cancel()
@@ -168,7 +171,8 @@
     def _drop(self) -> None:
         """The connection is gone: what was not written whole never ran, of the rest nothing is known.
 
-        Where it had been up, that is no sign of how the machine is: a new connection will tell.
+        Only a refusal, or none come up in time, says that the machine is not there. One reset as it was new
+        is no such sign, nor is one that had been up: the next connection will tell.
         """
         self.lost = True
         if self in self.actor.connections:
@@ -177,7 +181,7 @@
             self.body.release()
             self.body = None
         for what in list(self.open.values()):
-            unsent = Ending.CONNECT_FAILED if self.sock is None else Ending.MOOT
+            unsent = Ending.CONNECT_FAILED if self.absent else Ending.MOOT
             ending = Ending.RESET if what in self.started else unsent
             self.actor.ended(what, ending, clock.now())
         self.open.clear()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -59,6 +59,7 @@
         self.probed: list[str] = []
         self.health = "well"
         self.connections = self.open = 0
+        self.reset_new = 0  # so many connections are reset as they come
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -71,6 +72,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        if self.reset_new:
+            self.reset_new -= 1
+            writer.transport.abort()
+            return
         self.open += 1
         try:
             while line := await reader.readline():
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -258,3 +258,40 @@
     assert checks.changed() == "something 1" and checks.changed() == ""
     checks.count("something")
     assert checks.changed() == "something 2"
+
+
+@pytest.mark.parametrize(
+    ("error", "ending"),
+    [
+        (ConnectionRefusedError, Ending.CONNECT_FAILED),
+        (TimeoutError, Ending.CONNECT_FAILED),
+        (ConnectionResetError, Ending.MOOT),
+    ],
+)
+def test_only_a_refusal_or_none_in_time_says_that_a_machine_is_not_there(
+    monkeypatch: pytest.MonkeyPatch, error: type[OSError], ending: Ending
+) -> None:
+    async def fails(address: tuple[str, int], timeout: float) -> None:
+        raise error
+
+    monkeypatch.setattr("quincepier.net.cache.connect", fails)
+
+    async def play() -> None:
+        def script(event: io.Event) -> list[io.Action]:
+            return [io.Ask(event.request, number, clock.SECOND)] if isinstance(event, io.RequestCame) else []
+
+        actor, router = make_module(script)
+        number = actor.directory.number("s-1")
+        actor.begin()
+        ask(actor, Inbox())
+
+        def ended() -> list[Ending]:
+            return [event.ending for event in router.events if isinstance(event, io.AttemptEnded)]
+
+        await until(lambda: bool(ended()), "the attempt ends")
+        assert ended() == [ending]
+        actor.cancel()
+        for each in actor.caches.values():
+            each.cancel()
+
+    asyncio.run(play())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -253,3 +253,16 @@
         assert (got.status, got.body) == (200, b"bytes") and len(front.caches["p-1"].asked) == 1
 
     play(tmp_path, fleet(stops), scenario)
+
+
+def test_a_connection_reset_as_it_is_new_is_no_sign_against_the_cache(tmp_path: Path) -> None:
+    async def scenario(front: Front) -> None:
+        edge = front.caches["s-1"]
+        edge.reset_new = 3
+        client = await front.client()
+        for n in range(1, 9):
+            client.ask(n, "lot-image", HTTP_X_N=str(n))
+            assert (await client.ended(n)).status == 200
+        assert not front.logged("set aside") and len(edge.asked) >= 2
+
+    play(tmp_path, fleet(), scenario)
