--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -134,7 +134,7 @@
     members: tuple[Member, ...]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class RequestCame:
     request: int
     cls: int
@@ -148,7 +148,7 @@
     waited: int = 0  # for its turn at this front: more than a little says that the front is behind
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class TimerDue:
     token: int
 
@@ -160,7 +160,7 @@
     cache: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class AttemptEnded:
     request: int
     attempt: int
@@ -214,7 +214,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ask:
     """An attempt that fills nothing: the origin's answer, or a fresh copy held at the cache."""
 
@@ -223,7 +223,7 @@
     timeout: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Fetch:
     """An attempt that names a fill's source (the cache itself: none) and the oldest copy that will do."""
 
@@ -238,13 +238,13 @@
     held_only: bool
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Cancel:
     request: int
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Refuse:
     request: int
     retry_after: int
@@ -255,7 +255,7 @@
     request: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class SetTimer:
     wait: int
     token: int
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -28,6 +28,7 @@
 # After SIGTERM clients come on for up to 0.6 s; the kill comes the longest deadline, three seconds at most,
 # plus 0.7 s after it. What is open shortly before is answered as failed, as the process ends.
 DRAIN_LEAST, DRAIN_DEADLINE_MOST, DRAIN_END = 0.75, 3.0, 0.45
+GC_AFTER = 10_000  # new objects between looks for circles: what a request leaves has none
 FLUSH = 0.1  # seconds given to the last answers
 
 
@@ -62,6 +63,7 @@
         upkeep = loop.create_task(self._upkeep())
         gc.collect()
         gc.freeze()
+        gc.set_threshold(GC_AFTER, 10, 10)
         await self.term.wait()
         await self._drain(listener)
         signals.on_reload(None)
--- a/quincepier/lifecycle/signals.py
+++ b/quincepier/lifecycle/signals.py
@@ -24,9 +24,11 @@
 
 
 def on_reload(reload: Callable[[], None] | None) -> None:
-    """Who is called at SIGHUP, at once for one that came before; None: no one any more."""
+    """Who is called at SIGHUP, at once for one that came before; None: no one any more, for good."""
     global _pending, _reload
     _reload = reload
+    if reload is None:  # the interpreter puts handlers of ours back to the default as it stops
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if reload is not None and _pending:
         _pending = False
         reload()
--- a/quincepier/memory/requests.py
+++ b/quincepier/memory/requests.py
@@ -85,3 +85,4 @@
         done = request.over and all(attempt.ended for attempt in request.attempts)
         if done and self.open.pop(request.number, None) is not None:
             self.jobs.discard(request.job)
+            request.attempts = []  # each points back: without the circle they are freed at once
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Iterator
+from functools import lru_cache
 
 from quincepier import clock
 from quincepier.memory.pool import Body
@@ -103,6 +104,7 @@
         self.pieces = self._pieces(cgi_head(502))
 
 
+@lru_cache(maxsize=1024)
 def cgi_head(status: int, still: bool = False, wait_ms: int | None = None) -> bytes:
     lines = [f"Status: {status}", "Content-Type: application/octet-stream"]
     if still:
@@ -122,8 +124,8 @@
         self.open: dict[int, OpenRequest] = {}
         self.keep: dict[int, bool] = {}
         self.sending: deque[Outgoing] = deque()
-        self.control: deque[bytes] = deque()
-        self.closed = self.closing = self.leaving = self.asked = False
+        self.control: deque[tuple[int, bytes]] = deque()  # whole and short: 0 or the request, and its bytes
+        self.closed = self.closing = self.ending = self.leaving = self.asked = False
         self.deaf = False  # it sent what ends its connection: nothing more is read, what is owed goes out
         self.moved = self.since = clock.now()  # when bytes last went out or came in; when it came
         self.held = self.faults = self.closing_at = 0
@@ -225,7 +227,7 @@
                         case fastcgi.Aborted(stream):
                             self._abort(stream)
                         case fastcgi.Reply(data, closes):
-                            self.control.append(data)
+                            self.control.append((0, data))
                             self.closing = self.closing or closes
                             self.deaf = self.deaf or closes
                             self.mailbox.wake()
@@ -267,6 +269,8 @@
         for outgoing in [o for o in self.sending if o.stream == stream]:
             self.sending.remove(outgoing)
             outgoing.release()
+        if self.control:
+            self.control = deque(item for item in self.control if item[0] != stream)
         request = self.open.pop(stream, None)
         if request is not None:
             self._forget(request)
@@ -275,7 +279,15 @@
     # Out
 
     def _say(self, stream: int, head: bytes, body: Body | None = None) -> None:
-        self.sending.append(Outgoing(stream, self.keep.pop(stream, True), head, body))
+        keep = self.keep.pop(stream, True)
+        if body is None or not body.length:
+            if body is not None:
+                body.release()
+            self.control.append((stream, fastcgi.short(stream, head)))
+            self.decoder.close(stream)
+            self.ending = self.ending or not keep
+        else:
+            self.sending.append(Outgoing(stream, keep, head, body))
         self.mailbox.wake()
 
     def _take(self, answer: Answer) -> None:
@@ -303,8 +315,9 @@
             self.moved = clock.now()
 
     def _batch(self) -> bytes:
-        out = bytearray(b"".join(self.control))
+        out = bytearray().join(data for _, data in self.control)
         self.control.clear()
+        self.closing = self.closing or self.ending
         while self.sending and len(out) < BATCH:
             outgoing = self.sending.popleft()
             piece = next(outgoing.pieces, None)
--- a/quincepier/net/messages.py
+++ b/quincepier/net/messages.py
@@ -10,21 +10,21 @@
 from quincepier.wire.changelog import FleetChange, PurgeRecord
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Came:
     """Client to module: a request is there."""
 
     request: OpenRequest
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Left:
     """Client to module: no answer is owed any more."""
 
     request: OpenRequest
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Answer:
     """Module to client: the one final answer."""
 
@@ -35,7 +35,7 @@
     wait_ms: int | None = None
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Send:
     """Module to cache: an attempt, its command and its time-out."""
 
@@ -44,7 +44,7 @@
     timeout: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class CallOff:
     """Module to cache."""
 
@@ -70,7 +70,7 @@
     """Module to cache: it is off the list; end what is open, then stop."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ended:
     """Cache to module: how an attempt ended, when, and what came with it."""
 
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -51,17 +51,29 @@
         self.status = status
 
 
-def _matched(params: Mapping[str, str], name: str, form: re.Pattern[str], absent: str | None = None) -> str:
-    value = params.get(name) or absent
-    if value is None:
-        raise BadRequest(400, f"{name} is missing")
-    if value != absent and not form.fullmatch(value):
-        raise BadRequest(400, f"{name} is not of the stated form")
-    return value
-
-
-def _whole(params: Mapping[str, str], name: str, least: int, most: int) -> int:
-    value = int(_matched(params, name, WHOLE))
+# All fields of the usual form at once; what does not match is looked at one by one, to name the field.
+FIELDS = (
+    ("HTTP_X_JOB_ID", HEX_16.pattern),
+    ("HTTP_X_ITEM", HEX_16.pattern),
+    ("HTTP_X_N", WHOLE.pattern),
+    ("HTTP_X_SHARD", WHOLE.pattern),
+    ("HTTP_X_ALLOW_MS", WHOLE.pattern),
+    ("HTTP_X_AGAIN", "1?"),
+    ("HTTP_X_MINE", f"({HEX_16.pattern})?"),
+)
+USUAL = re.compile("\n".join(pattern for _, pattern in FIELDS))
+
+
+def _at_fault(params: Mapping[str, str]) -> BadRequest:
+    """Which field is not of the stated form."""
+    for name, pattern in FIELDS:
+        if not re.fullmatch(pattern, params.get(name, "")):
+            return BadRequest(400, f"{name} is {'not of the stated form' if name in params else 'missing'}")
+    return BadRequest(400, "a field holds a line break")
+
+
+def _whole(name: str, text: str, least: int, most: int) -> int:
+    value = int(text)
     if not least <= value <= most:
         raise BadRequest(400, f"{name} is not between {least} and {most}")
     return value
@@ -71,32 +83,32 @@
     """A call as taken; raises BadRequest where it is not of the stated form."""
     if call.fault:
         raise BadRequest(413 if "body" in call.fault else 400, call.fault)
-    params = call.params
-    path = params.get("SCRIPT_NAME", "") + params.get("PATH_INFO", "")
+    params, get = call.params, call.params.get
+    path = get("SCRIPT_NAME", "") + get("PATH_INFO", "")
     name = path.removeprefix(PATH)
     if not path.startswith(PATH) or name not in classes:
         raise BadRequest(404, "the path names no class")
     number, deadline = classes[name]
-    length = params.get("CONTENT_LENGTH") or str(len(call.body))
+    length = get("CONTENT_LENGTH") or str(len(call.body))
     if not WHOLE.fullmatch(length) or int(length) != len(call.body):
         raise BadRequest(400, "CONTENT_LENGTH is not the length of the body")
-    again = params.get("HTTP_X_AGAIN", "")
-    if again not in ("", "1"):
-        raise BadRequest(400, "HTTP_X_AGAIN is not of the stated form")
-    item = _matched(params, "HTTP_X_ITEM", HEX_16)
+    values = [get(field, "") for field, _ in FIELDS]
+    if not USUAL.fullmatch("\n".join(values)):
+        raise _at_fault(params)
+    job, item, part, group, allow, again, known = values
     return OpenRequest(
         owner=owner,
         stream=call.id,
-        job=_matched(params, "HTTP_X_JOB_ID", HEX_16),
+        job=job,
         cls=number,
         class_name=name,
         item=item,
         object=int(item, 16),
-        part=_whole(params, "HTTP_X_N", 0, PART_MOST),
-        group=_whole(params, "HTTP_X_SHARD", 0, GROUP_MOST),
+        part=_whole("HTTP_X_N", part, 0, PART_MOST),
+        group=_whole("HTTP_X_SHARD", group, 0, GROUP_MOST),
         repeat=again == "1",
-        known=_matched(params, "HTTP_X_MINE", HEX_16, ""),
-        allow=_whole(params, "HTTP_X_ALLOW_MS", 1, ALLOW_TIMES * deadline // clock.MS) * clock.MS,
+        known=known,
+        allow=_whole("HTTP_X_ALLOW_MS", allow, 1, ALLOW_TIMES * deadline // clock.MS) * clock.MS,
         came=came,
         body=call.body,
     )
--- a/quincepier/wire/fastcgi.py
+++ b/quincepier/wire/fastcgi.py
@@ -64,29 +64,39 @@
     return record(STDOUT, request, b"") + end(request)
 
 
+def short(request: int, head: bytes) -> bytes:
+    """A whole answer that is its head alone."""
+    return record(STDOUT, request, head) + finish(request)
+
+
+def _long(raw: bytes, at: int) -> tuple[int, int]:
+    """A length of one byte or of four, and where it ends."""
+    if at < len(raw) and raw[at] < 128:
+        return raw[at], at + 1
+    if at + 4 > len(raw):
+        raise ProtocolError("a parameter's length is cut short")
+    return int.from_bytes(raw[at : at + 4], "big") & 0x7FFFFFFF, at + 4
+
+
 def read_pairs(data: bytes | bytearray) -> dict[str, str]:
     raw, text, at, size = bytes(data), data.decode("latin-1"), 0, len(data)
     pairs: dict[str, str] = {}
+    count = 0
     while at < size:
-        ends = []
-        for _ in range(2):
-            if at < size and raw[at] < 128:
-                ends.append(raw[at])
-                at += 1
-            elif at + 4 <= size:
-                ends.append(int.from_bytes(raw[at : at + 4], "big") & 0x7FFFFFFF)
-                at += 4
-            else:
-                raise ProtocolError("a parameter's length is cut short")
-        middle = at + ends[0]
-        end = middle + ends[1]
+        if at + 1 < size and raw[at] < 128 and raw[at + 1] < 128:
+            middle = at + 2 + raw[at]
+            end, at = middle + raw[at + 1], at + 2
+        else:
+            name_size, at = _long(raw, at)
+            value_size, at = _long(raw, at)
+            middle = at + name_size
+            end = middle + value_size
         if end > size:
             raise ProtocolError("a parameter runs past its record stream")
-        name = text[at:middle]
-        if name in pairs:
-            raise ProtocolError(f"the parameter {name[:40]!r} twice")
-        pairs[name] = text[middle:end]
-        at = end
+        pairs[text[at:middle]] = text[middle:end]
+        at, count = end, count + 1
+    if len(pairs) != count:
+        raise ProtocolError("a parameter is given twice")
     return pairs
 
 
@@ -161,9 +171,9 @@
                 raise ProtocolError(f"a management record of {size} bytes")
             self._stray()
             return None
-        call = self.begun.get(request)
         if kind in (BEGIN, ABORT):
             return None
+        call = self.begun.get(request)
         if call is None or kind not in (PARAMS, STDIN):
             self._stray()  # of no open request: passed over, as the specification says
             return []
@@ -192,6 +202,8 @@
         if kind == ABORT:
             known = self.begun.pop(request, None) is not None or request in self.answering
             self.answering.discard(request)
+            if not known:
+                self._stray()
             return [Aborted(request)] if known else []
         call = self.begun.get(request)
         if call is None or kind not in (PARAMS, STDIN):
