--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -252,6 +252,8 @@
         else:
             self.started.discard(what)
             self.past(head.id)
+            if not self.open:
+                self.actor.freed(self)
             self.actor.answered(what, head, body, at)
 
 
@@ -304,10 +306,11 @@
 
         The idle one used last; else a new one, within this machine's share; else the one with least on it.
         """
+        for c in reversed(self.connections):  # those used last are at the end
+            if c.idle and not c.doubtful and id not in c.ghosts:
+                return c
         now, streams = clock.now(), self.shared.config.streams
         able = [c for c in self.connections if not (c.lost or c.doubtful or id in c.ghosts or c.stalled(now))]
-        if idle := [c for c in able if c.idle]:
-            return max(idle, key=lambda c: c.used)
         if len(self.connections) >= self.shared.share() or not self.shared.descriptor():
             busy = [c for c in able if len(c.open) < streams and id not in c.open]
             if busy:
@@ -320,6 +323,11 @@
         connection.task = self.spawn(connection.run())
         return connection
 
+    def freed(self, connection: Connection) -> None:
+        """It has nothing out: the next attempt takes it first, and those left over grow old and close."""
+        self.connections.remove(connection)
+        self.connections.append(connection)
+
     def _give_up(self, what: OpenAttempt | Probe, ending: Ending) -> None:
         if what in self.out:
             id, connection = self.out[what]
