--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 from functools import lru_cache
 
@@ -23,6 +23,7 @@
 BATCH = 65_536  # bytes written at a time
 # Seconds: to a new connection's first whole request; that one message may take; to a close behind an answer.
 FIRST_WITHIN, WHOLE_WITHIN, CLOSE_WITHIN = 2.0, 2.0, 1.0
+ACCEPTS = 8  # new clients in a row
 NEW_FOR = 0.5  # seconds in which a connection that has not asked is the last to be closed for a new one
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
 
@@ -35,6 +36,9 @@
         self.module, self.standing = means.module, standing
         self.means, self.classes = means, class_table(means.config)
         self.connections: set[ClientConnection] = set()
+        # Those that have not asked yet, as they came, and those owed nothing, by how long they have rested.
+        self.new: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.resting: OrderedDict[ClientConnection, None] = OrderedDict()
         self.bodies, self.bodies_most = 0, means.budget.bodies
 
     def make_room(self) -> None:
@@ -64,15 +68,23 @@
                 self.checks.event(f"client closed: {why}")
                 connection.close()
 
-    def dispensable(self) -> ClientConnection | None:
-        """Whom to close for a new client: who came and never asked, else who has been idle for longest."""
-        now, idle = clock.now(), [c for c in self.connections if not c.owed and not c.leaving]
+    def busy(self, connection: ClientConnection) -> None:
+        """It has asked something."""
+        self.new.pop(connection, None)
+        self.resting.pop(connection, None)
 
-        def order(c: ClientConnection) -> tuple[int, int]:
-            new = now - c.since < NEW_FOR * clock.SECOND  # its first request may be on the way
-            return 1 if c.asked else 2 if new else 0, c.moved
+    def rests(self, connection: ClientConnection) -> None:
+        """It is owed nothing, from now on."""
+        if connection.asked and not connection.closed:
+            self.resting[connection] = None
 
-        return min(idle, key=order) if idle else None
+    def dispensable(self) -> ClientConnection | None:
+        """Whom to close for a new client: who came and never asked, else who has rested for longest."""
+        newest = clock.now() - int(NEW_FOR * clock.SECOND)  # its first request may be on the way
+        first = next(iter(self.new), None)
+        if first is None or first.since > newest:
+            first = next(iter(self.resting), first)
+        return first
 
 
 class Outgoing:
@@ -126,7 +138,9 @@
         self.sending: deque[Outgoing] = deque()
         self.control: deque[tuple[int, bytes]] = deque()  # whole and short: 0 or the request, and its bytes
         self.closed = self.closing = self.ending = self.leaving = self.asked = False
+        self.begun = False
         self.deaf = False  # it sent what ends its connection: nothing more is read, what is owed goes out
+        self.writer: asyncio.Task[None] | None = None
         self.moved = self.since = clock.now()  # when bytes last went out or came in; when it came
         self.held = self.faults = self.closing_at = 0
         self.unfinished: object = None  # what was half-sent at the last look, and for how long
@@ -138,11 +152,12 @@
                 answer.body.release()
         else:
             self.mailbox.push(answer)
+            self._stir()
 
     @property
     def owed(self) -> bool:
         """Whether something that was asked here whole is still to be answered."""
-        return bool(self.open or self.sending or self.control or len(self.mailbox))
+        return bool(self.open) or self.writer is not None
 
     def overdue(self, now: int, since: int) -> str | None:
         """Why it is to be closed. Time in which the front itself was late does not count against it."""
@@ -160,31 +175,32 @@
         return None
 
     async def run(self) -> None:
-        work = [asyncio.ensure_future(self._read()), asyncio.ensure_future(self._write())]
+        self.begun = True
         try:
-            done, _ = await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
+            if not self.leaving:
+                await self._read()
         except ProtocolError as error:
             self.checks.event("client breaks FastCGI", str(error))
         except OSError:
             self.checks.count("client connections broken off")
         finally:
-            for task in work:
-                task.cancel()
-            await asyncio.gather(*work, return_exceptions=True)
+            if (writer := self.writer) is not None:
+                writer.cancel()
+                await asyncio.wait((writer,))
             self._drop()
 
     def close(self) -> None:
         """End the connection now, whatever is open on it."""
         self.leaving = True
-        self.cancel()
+        if self.begun:  # else it ends as its task begins: one ended before that would leave its socket behind
+            self.cancel()
 
     def _drop(self) -> None:
         self.closed = True
         self.shop.bodies -= self.held
         self.held = 0
         self.sock.close()
+        self.shop.busy(self)
         self.shop.connections.discard(self)
         self.shop.descriptors.client(-1)
         while (answer := self.mailbox.take()) is not None:
@@ -230,7 +246,7 @@
                             self.control.append((0, data))
                             self.closing = self.closing or closes
                             self.deaf = self.deaf or closes
-                            self.mailbox.wake()
+                            self._stir()
                 self.shop.hold(self)
                 if self.deaf:
                     await loop.create_future()
@@ -242,6 +258,7 @@
     def _call(self, call: fastcgi.Call, at: int) -> None:
         self.keep[call.id] = call.keep
         self.asked = True
+        self.shop.busy(self)
         if call.params.get("SCRIPT_NAME") == PING and not call.fault:
             self._say(call.id, cgi_head(200 if self.shop.standing() else 503))
             return
@@ -275,9 +292,16 @@
         if request is not None:
             self._forget(request)
             self.shop.module.push(Left(request))
+        if not self.owed:
+            self.shop.rests(self)
 
     # Out
 
+    def _stir(self) -> None:
+        """There is something to send: a task does so, and ends with it, so that a resting client has none."""
+        if self.writer is None and not self.closed:
+            self.writer = self.spawn(self._write())
+
     def _say(self, stream: int, head: bytes, body: Body | None = None) -> None:
         keep = self.keep.pop(stream, True)
         if body is None or not body.length:
@@ -288,7 +312,7 @@
             self.ending = self.ending or not keep
         else:
             self.sending.append(Outgoing(stream, keep, head, body))
-        self.mailbox.wake()
+        self._stir()
 
     def _take(self, answer: Answer) -> None:
         request = answer.request
@@ -303,16 +327,24 @@
     async def _write(self) -> None:
         """Answers take turns, a record each, so that a large one does not delay the small."""
         loop = asyncio.get_running_loop()
-        while True:
-            while (answer := self.mailbox.take()) is not None:
-                self._take(answer)
-            if not self.sending and not self.control:
-                if self.closing and not self.open:
-                    return
-                await self.mailbox.wait()
-                continue
-            await loop.sock_sendall(self.sock, self._batch())
-            self.moved = clock.now()
+        try:
+            while True:
+                while (answer := self.mailbox.take()) is not None:
+                    self._take(answer)
+                if not self.sending and not self.control:
+                    break
+                await loop.sock_sendall(self.sock, self._batch())
+                self.moved = clock.now()
+        except OSError:
+            self.checks.count("client connections broken off")
+            self.closing = True
+            self.close()
+        finally:
+            self.writer = None
+        if not self.open:
+            self.shop.rests(self)
+            if self.closing:
+                self.close()
 
     def _batch(self) -> bytes:
         out = bytearray().join(data for _, data in self.control)
@@ -342,7 +374,7 @@
         self.shop, self.sock = shop, sock
 
     async def run(self) -> None:
-        loop, descriptors = asyncio.get_running_loop(), self.shop.descriptors
+        loop, descriptors, taken = asyncio.get_running_loop(), self.shop.descriptors, 0
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
@@ -359,10 +391,12 @@
                     sock.close()
                     continue
                 self.checks.event("idle client closed: descriptors used up")
+                self.shop.busy(spared)  # not chosen twice; it is gone within a turn of the loop
                 spared.close()
-                if spared.tasks:
-                    await asyncio.wait(spared.tasks)
             descriptors.client(1)
             connection = ClientConnection(self.shop, sock)
             self.shop.connections.add(connection)
+            self.shop.new[connection] = None
             connection.start()
+            if (taken := taken + 1) % ACCEPTS == 0:  # the others get their turn in a storm of new clients
+                await asyncio.sleep(0)
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-SPARE = 16  # descriptors of the loop, the listener, the log and the like; 11 seen
+SPARE = 24  # descriptors of the loop, the listener, the log and the like (11), and of those about to close
 
 
 class Descriptors:
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -18,7 +19,7 @@
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.memory.requests import OpenAttempt
 from quincepier.net.actor import Mailbox
-from quincepier.net.client import Outgoing, cgi_head
+from quincepier.net.client import ClientConnection, Outgoing, Shop, cgi_head
 from quincepier.net.messages import Came, Ended, Left
 from quincepier.net.module import ModuleActor
 from quincepier.net.sockets import Descriptors
@@ -295,3 +296,24 @@
             each.cancel()
 
     asyncio.run(play())
+
+
+def test_a_client_closed_as_it_comes_leaves_nothing_behind() -> None:
+    async def play() -> None:
+        actor, _ = make_module(lambda event: [])
+        shop = Shop(actor.means, lambda: True)
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        connection = ClientConnection(shop, ours)
+        shop.connections.add(connection)
+        shop.new[connection] = None
+        shop.descriptors.client(1)
+        connection.start()
+        assert shop.dispensable() is connection
+        connection.close()
+        await until(lambda: not shop.connections, "it is gone")
+        assert (shop.descriptors.clients, ours.fileno(), shop.pool.used) == (0, -1, 0)
+        assert shop.dispensable() is None
+        theirs.close()
+
+    asyncio.run(play())
