--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -259,6 +259,7 @@
 class SetTimer:
     wait: int
     token: int
+    request: int = -1  # the one it is about: of no use once that is over, and then it need not come
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -138,7 +138,7 @@
         self.sending: deque[Outgoing] = deque()
         self.control: deque[tuple[int, bytes]] = deque()  # whole and short: 0 or the request, and its bytes
         self.closed = self.closing = self.ending = self.leaving = self.asked = False
-        self.begun = False
+        self.begun = self.writing = False
         self.deaf = False  # it sent what ends its connection: nothing more is read, what is owed goes out
         self.writer: asyncio.Task[None] | None = None
         self.moved = self.since = clock.now()  # when bytes last went out or came in; when it came
@@ -157,7 +157,7 @@
     @property
     def owed(self) -> bool:
         """Whether something that was asked here whole is still to be answered."""
-        return bool(self.open) or self.writer is not None
+        return bool(self.open) or self.writing
 
     def overdue(self, now: int, since: int) -> str | None:
         """Why it is to be closed. Time in which the front itself was late does not count against it."""
@@ -247,7 +247,8 @@
                             self.closing = self.closing or closes
                             self.deaf = self.deaf or closes
                             self._stir()
-                self.shop.hold(self)
+                if self.held or self.decoder.begun or self.decoder.buffer:
+                    self.shop.hold(self)
                 if self.deaf:
                     await loop.create_future()
                 if self.faults != faults:  # who goes on sending what can't be used gets little CPU
@@ -298,8 +299,11 @@
     # Out
 
     def _stir(self) -> None:
-        """There is something to send: a task does so, and ends with it, so that a resting client has none."""
-        if self.writer is None and not self.closed:
+        """There is something to send. Who never gets an answer has no task for it."""
+        self.writing = True
+        if self.writer is not None:
+            self.mailbox.wake()
+        elif not self.closed:
             self.writer = self.spawn(self._write())
 
     def _say(self, stream: int, head: bytes, body: Body | None = None) -> None:
@@ -331,20 +335,19 @@
             while True:
                 while (answer := self.mailbox.take()) is not None:
                     self._take(answer)
-                if not self.sending and not self.control:
-                    break
-                await loop.sock_sendall(self.sock, self._batch())
-                self.moved = clock.now()
+                if self.sending or self.control:
+                    await loop.sock_sendall(self.sock, self._batch())
+                    self.moved = clock.now()
+                    continue
+                self.writing = False
+                if not self.open:
+                    self.shop.rests(self)
+                    if self.closing:
+                        break
+                await self.mailbox.wait()
         except OSError:
             self.checks.count("client connections broken off")
-            self.closing = True
-            self.close()
-        finally:
-            self.writer = None
-        if not self.open:
-            self.shop.rests(self)
-            if self.closing:
-                self.close()
+        self.close()
 
     def _batch(self) -> bytes:
         out = bytearray().join(data for _, data in self.control)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -65,7 +65,7 @@
         self.directory = Directory(config.zones, config.kinds)
         self.requests = Requests(budget.requests)
         self.caches: dict[int, CacheActor] = self.shared.actors
-        self.timers: list[tuple[int, int, int]] = []
+        self.timers: list[tuple[int, int, int, int]] = []  # due, order, token, the request it is about
         self.timers_set = 0
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = 0
@@ -114,7 +114,10 @@
 
     def _due(self) -> None:
         while self.timers and self.timers[0][0] <= clock.now():
-            self._tell(io.TimerDue(heapq.heappop(self.timers)[2]))
+            _, _, token, number = heapq.heappop(self.timers)
+            if number >= 0 and ((request := self.requests.open.get(number)) is None or request.over):
+                continue
+            self._tell(io.TimerDue(token))
 
     def _arm(self) -> None:
         """Wake at the next timer, if nothing else comes before."""
@@ -236,9 +239,9 @@
             case io.Fail(number):
                 if (request := self._owed(number)) is not None:
                     self._answer(Answer(request, 502))
-            case io.SetTimer(wait, token):
+            case io.SetTimer(wait, token, about):
                 self.timers_set += 1
-                heapq.heappush(self.timers, (now + max(wait, 0), self.timers_set, token))
+                heapq.heappush(self.timers, (now + max(wait, 0), self.timers_set, token, about))
             case io.Probe(machine):
                 if machine in self.caches:
                     self.caches[machine].mailbox.push(Check(self.config.report_on_probe))
--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -476,7 +476,7 @@
         self.wake()
 
     def timer_in(self, wait: float, kind: int, about: int = 0) -> None:
-        self.out.append(io.SetTimer(int(wait), about << 3 | kind))
+        self.out.append(io.SetTimer(int(wait), about << 3 | kind, about if kind <= HOLD else -1))
 
     def timer(self, kind: int, about: int) -> None:
         if kind == DEADLINE and (req := self.requests.get(about)) and not req.begun:
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -317,3 +317,16 @@
         theirs.close()
 
     asyncio.run(play())
+
+
+def test_a_timer_about_a_request_that_is_over_does_not_come() -> None:
+    actor, router = make_module(lambda event: [])
+    request = ask(actor, Inbox())
+    actor._perform(io.SetTimer(0, 16, request.number), 0)
+    actor._due()
+    assert io.TimerDue(16) in router.events
+    router.events.clear()
+    actor._perform(io.SetTimer(0, 24, request.number), 0)
+    actor.safely(Left(request))
+    actor._due()
+    assert router.events == [io.ClientLeft(request.number)] and not actor.timers
