--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -111,8 +111,7 @@
         self.least = max(BOUND_LEAST // max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1), BOUND_EACH)
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, now  # what fills wait for; see full
-        self.hits: OrderedDict[tuple[int, int], int] = OrderedDict()
-        self.purges: OrderedDict[tuple[int, int], int] = OrderedDict()
+        self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
         self.extra, self.logs, self.awake, self.watching, self.watched = EXTRA_MOST, 0, False, False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
@@ -173,15 +172,16 @@
             saved = min(rate, saved + rate * (self.now - at) / SECOND)
             tier = 2 if saved < 1 and self.s.over_share_worth < 1 else tier
             self.quota[e.tenant] = (max(saved - 1, 0.0), self.now)
-        req = self.requests[e.request] = Request(e, self.s.classes[e.cls], tier, self.now)
+        cls = self.s.classes[e.cls]
+        behind = e.waited > TURN_PART * cls.on_time / (1 + tier) and not cls.never_kept
+        if behind or e.time_left <= self.s.step:  # refused while that costs little, the lowest tier first
+            self.out.append(io.Refuse(e.request, self.advice()))
+            return
+        req = self.requests[e.request] = Request(e, cls, tier, self.now)
         req.told = e.size_kb / self.s.client_kb_per_s * SECOND if self.s.client_kb_per_s else 0.0
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
-        behind = e.waited > TURN_PART * req.cls.on_time / (1 + tier) and not req.cls.never_kept
-        if behind or e.time_left <= self.s.step:  # refused while that costs little, the lowest tier first
-            self.give_up(req)
-        else:
-            self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
-            self.route(req)
+        self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
+        self.route(req)
 
     def close(self, req: Request) -> None:
         """Forget a request that has its final answer; what is still out for it is called off."""
@@ -199,11 +199,13 @@
         cls, untried = req.cls, req.first_ran is None and not req.open
         self.close(req)
         if untried or cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL):
-            advice = int(self.random.uniform(0.8, 1) * self.s.max_retry_after) if self.s.retry_after else 0
-            self.out.append(io.Refuse(req.e.request, advice))
+            self.out.append(io.Refuse(req.e.request, self.advice()))
         else:
             self.out.append(io.Fail(req.e.request))
 
+    def advice(self) -> int:
+        return int(self.random.uniform(0.8, 1) * self.s.max_retry_after) if self.s.retry_after else 0
+
     def rank(self, nodes: list[Node], key: int) -> list[Node]:
         """The nodes by a hash of the key, each first for a part of the keys that follows its size."""
         if key not in self.ranks:  # kept until the list changes: a held request is looked at often
@@ -217,9 +219,7 @@
         return ready and (not node.suspect or self.now >= node.trial_at) and self.room(node)
 
     def room(self, node: Node) -> bool:
-        """Whether a machine that started lately may be asked for more (rule four): credit earned by time.
-
-        A share may be less than one request: it is overdrawn by one, from a random debt, for turns."""
+        """Whether a machine that started lately may be asked (rule four): credit by time, overdrawn in turns."""
         s, kind = self.s, node.member.kind
         least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
         if kind == s.parent_kind:
--- a/quincepier/wire/fastcgi.py
+++ b/quincepier/wire/fastcgi.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 
 from quincepier.wire.errors import ProtocolError
 
@@ -18,6 +19,7 @@
 RECORD_MOST = 16_384  # bytes of content in a STDOUT record, so that answers take turns
 PARAMS_MOST, BODY_MOST = 16_384, 48_000  # bytes of one request that are kept
 OPEN_MOST = 32  # requests open at a time on one connection
+SMALL = 4096  # bytes of a record that is kept until it is whole, before it is looked at
 STRAY_MOST = 1024  # records that belong to no request, between two that do
 
 
@@ -59,6 +61,7 @@
     return record(END, request, END_BODY.pack(0, status))
 
 
+@lru_cache(maxsize=4096)
 def finish(request: int) -> bytes:
     """The close of STDOUT and END_REQUEST."""
     return record(STDOUT, request, b"") + end(request)
@@ -153,7 +156,7 @@
             if version != 1:
                 raise ProtocolError(f"FastCGI version {version}, not 1")
             start = at + HEADER.size
-            if (fault := self._too_much(kind, request, size)) is not None:
+            if size > SMALL and (fault := self._too_much(kind, request, size)) is not None:
                 found += fault
                 self.records, self.skip, at = self.records + 1, size + padding, start
                 continue
@@ -166,49 +169,50 @@
 
     def _too_much(self, kind: int, request: int, size: int) -> list[Call | Aborted | Reply] | None:
         """What to say, by its head alone, of a record that is not to be kept; None for one that is."""
-        if request == 0:
-            if size > PARAMS_MOST:
-                raise ProtocolError(f"a management record of {size} bytes")
-            self._stray()
-            return None
-        if kind in (BEGIN, ABORT):
-            return None
+        if request == 0 or kind in (BEGIN, ABORT):
+            raise ProtocolError(f"a record of kind {kind} of {size} bytes")
         call = self.begun.get(request)
         if call is None or kind not in (PARAMS, STDIN):
-            self._stray()  # of no open request: passed over, as the specification says
-            return []
-        if kind == PARAMS and len(call.params) + size > PARAMS_MOST:
-            return self._refused(request, call, f"parameters over {PARAMS_MOST} bytes")
-        if kind == STDIN and len(call.body) + size > BODY_MOST:
-            return self._refused(request, call, f"a body over {BODY_MOST} bytes")
-        return None
+            return self._stray()
+        return self._over(request, call, kind, size) or None
 
-    def _stray(self) -> None:
+    def _stray(self) -> list[Call | Aborted | Reply]:
+        """A record of no open request is passed over, as the specification says, but no endless row."""
         self.strays += 1
         if self.strays > STRAY_MOST:
             raise ProtocolError(f"over {STRAY_MOST} records of no request")
+        return []
+
+    def _over(self, request: int, call: _Begun, kind: int, size: int) -> list[Call | Aborted | Reply]:
+        """Empty, or the fault of a request that so many bytes more make too large.
 
-    def _refused(self, request: int, call: _Begun, fault: str) -> list[Call | Aborted | Reply]:
-        """Its end is not waited for, as it may never come; the connection closes behind the answer."""
+        Its end is not waited for, as it may never come; the connection closes behind the answer."""
+        if kind == PARAMS and len(call.params) + size > PARAMS_MOST:
+            fault = f"parameters over {PARAMS_MOST} bytes"
+        elif kind == STDIN and len(call.body) + size > BODY_MOST:
+            fault = f"a body over {BODY_MOST} bytes"
+        else:
+            return []
         del self.begun[request]
         self.answering.add(request)
         return [Call(request, {}, b"", False, fault)]
 
     def _record(self, kind: int, request: int, content: bytes) -> list[Call | Aborted | Reply]:
         if request == 0:
+            self._stray()
             return [self._managed(kind, content)]
         if kind == BEGIN:
             return self._begin(request, content)
         if kind == ABORT:
             known = self.begun.pop(request, None) is not None or request in self.answering
             self.answering.discard(request)
-            if not known:
-                self._stray()
-            return [Aborted(request)] if known else []
+            return [Aborted(request)] if known else self._stray()
         call = self.begun.get(request)
         if call is None or kind not in (PARAMS, STDIN):
-            return []
+            return self._stray()
         self.strays = 0
+        if content and (fault := self._over(request, call, kind, len(content))):
+            return fault
         if kind == PARAMS:
             return self._params(call, content)
         if not call.params_ended:
