--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -219,7 +219,7 @@
         return ready and (not node.suspect or self.now >= node.trial_at) and self.room(node)
 
     def room(self, node: Node) -> bool:
-        """Whether a machine that started lately may be asked (rule four): credit by time, overdrawn in turns."""
+        """Whether a machine that started lately may be asked (rule four): credit by time, by turns."""
         s, kind = self.s, node.member.kind
         least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
         if kind == s.parent_kind:
