--- a/quincepier/__init__.py
+++ b/quincepier/__init__.py
@@ -1,3 +1,3 @@
 """quincepier, a request router before tiers of caches with one origin."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
