Objects leave buffers to connections that read; none is closed for want of one

Seen in the flood test under load: a usual client's connection ended although it read. The pool was used up by objects for clients that do not read, and a connection that came then was closed at once (client.py _read, no buffer). Now objects stop short of a reserve, and who finds no buffer waits.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -36,8 +36,9 @@
     def __init__(self, config: FrontConfig, path: str | None = None) -> None:
         self.config, self.path, self.checks = config, path, Checks()
         budget = share_out(config.memory_mb, own_memory(), config.max_open)
-        self.pool = BufferPool(budget.buffers)
         self.descriptors = Descriptors(config.sockets)
+        reserve = self.descriptors.clients_most + self.descriptors.caches_most
+        self.pool = BufferPool(budget.buffers, min(reserve, budget.buffers // 2))
         self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, self._make_room, budget)
         self.shop = Shop(self.module.means, lambda: self.module.standing)
         self.changes = ChangesActor(self.module.means)
--- a/quincepier/memory/pool.py
+++ b/quincepier/memory/pool.py
@@ -8,8 +8,9 @@
 
 
 class BufferPool:
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, reserve: int = 0) -> None:
         self.most, self.made = most, 0
+        self.reserve = reserve  # left for connections to read into, whatever objects are held
         self.free: list[bytearray] = []
         self.on_free: Callable[[], None] | None = None  # told when buffers come back
 
@@ -17,9 +18,9 @@
     def used(self) -> int:
         return self.made - len(self.free)
 
-    def take(self, count: int = 1) -> list[bytearray] | None:
-        """So many buffers, or None where the cap leaves fewer."""
-        if self.used + count > self.most:
+    def take(self, count: int = 1, reserve: int = 0) -> list[bytearray] | None:
+        """So many buffers, or None where the cap less the reserve leaves fewer."""
+        if self.used + count > self.most - reserve:
             return None
         taken = [self.free.pop() for _ in range(min(count, len(self.free)))]
         while len(taken) < count:
@@ -43,7 +44,7 @@
     @classmethod
     def of_length(cls, pool: BufferPool, length: int) -> Body | None:
         """Room for so many bytes, or None where the pool has too little."""
-        buffers = pool.take(-(-length // BUFFER_SIZE))
+        buffers = pool.take(-(-length // BUFFER_SIZE), pool.reserve)
         return None if buffers is None else cls(pool, buffers)
 
     def append(self, data: bytes | memoryview) -> None:
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -19,7 +19,7 @@
 from quincepier.net.actor import Actor
 from quincepier.net.means import Means
 from quincepier.net.messages import CallOff, Check, Checked, Ended, Leave, Recall, Send, ToCache
-from quincepier.net.sockets import connect
+from quincepier.net.sockets import NO_BUFFER_PAUSE, connect
 from quincepier.translate import ENDINGS, note_of, report_of, waited_of
 from quincepier.wire import lines
 from quincepier.wire.errors import ProtocolError
@@ -206,7 +206,8 @@
 
     async def _read(self, sock: socket.socket) -> None:
         loop, decoder = asyncio.get_running_loop(), lines.Decoder()
-        buffer = (await self.shared.room(1)).buffers
+        while (buffer := self.shared.pool.take()) is None:
+            await asyncio.sleep(NO_BUFFER_PAUSE)
         view = memoryview(buffer[0])
         try:
             while size := await loop.sock_recv_into(sock, view):
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -14,7 +14,7 @@
 from quincepier.net.actor import Actor
 from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, Left
-from quincepier.net.sockets import no_delay
+from quincepier.net.sockets import NO_BUFFER_PAUSE, no_delay
 from quincepier.translate import PING, BadRequest, class_table, open_request
 from quincepier.wire import fastcgi
 from quincepier.wire.errors import ProtocolError
@@ -227,10 +227,9 @@
     # In
 
     async def _read(self) -> None:
-        loop, buffers = asyncio.get_running_loop(), self.shop.pool.take()
-        if buffers is None:
-            self.checks.event("client connection closed: no buffer")
-            return
+        loop = asyncio.get_running_loop()
+        while (buffers := self.shop.pool.take()) is None:  # never a reason to end who has done no wrong
+            await asyncio.sleep(NO_BUFFER_PAUSE)
         view = memoryview(buffers[0])
         try:
             while size := await loop.sock_recv_into(self.sock, view):
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -8,6 +8,9 @@
 SPARE = 24  # descriptors of the loop, the listener, the log and the like (11), and of those about to close
 
 
+NO_BUFFER_PAUSE = 0.005  # seconds between looks for a buffer to read into, where even the reserve is used up
+
+
 class Descriptors:
     """The front's own account of its sockets: half for clients, the rest for caches and the change log."""
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -134,3 +134,10 @@
     assert clock.ago(now_ms - 1000) >= 998 * clock.MS
     # never older than it was: the millisecond named may have been cut
     assert clock.ago(now_ms - 1000) <= time.time_ns() - (now_ms - 999) * clock.MS
+
+
+def test_objects_leave_the_reserve_to_connections_that_read() -> None:
+    pool = BufferPool(8, reserve=3)
+    body = Body.of_length(pool, 5 * BUFFER_SIZE)
+    assert body is not None and Body.of_length(pool, 1) is None
+    assert all(pool.take() is not None for _ in range(3)) and pool.take() is None
