--- a/quincepier/__main__.py
+++ b/quincepier/__main__.py
@@ -1,8 +1,8 @@
 """quincepier: a request router before tiers of caches with one origin.
 
 Usage:
-  quincepier serve [--config FILE]
-  quincepier check-config [--config FILE]
+  quincepier serve [--config FILE] [--operator FILE]
+  quincepier check-config [--config FILE] [--operator FILE]
   quincepier version
   quincepier (-h | --help)
 
@@ -12,19 +12,22 @@
   version       Print the version.
 
 Options:
-  --config FILE  The configuration, a JSON file; without it the path in ROUTER_CONFIG.
-  -h --help      Show this text.
+  --config FILE    The configuration, a JSON file; without it the path in ROUTER_CONFIG.
+  --operator FILE  The operators' file, YAML; without it the path in ROUTER_OPERATOR, if any.
+  -h --help        Show this text.
 
 Environment:
-  ROUTER_CONFIG  Path of the configuration, where --config is not given.
-  ROUTER_NAME    The front's name; goes before the file's.
-  ROUTER_LISTEN  Where clients connect, such as 127.0.0.1:5050; goes before the file's.
+  ROUTER_CONFIG    Path of the configuration, where --config is not given.
+  ROUTER_OPERATOR  Path of the operators' file, where --operator is not given.
+  ROUTER_NAME      The front's name; goes before the file's.
+  ROUTER_LISTEN    Where clients connect, such as 127.0.0.1:5050; goes before the file's.
 
 Exit codes: 0 done, 1 the address can't be had, 2 the configuration or the command line is at fault.
 """
 
 from __future__ import annotations
 
+import os
 import sys
 
 from quincepier.lifecycle import signals
@@ -58,18 +61,23 @@
     if chosen["version"]:
         print(f"quincepier {__version__}")
         return 0
+    place, operators = chosen["--operator"] or os.environ.get("ROUTER_OPERATOR"), None
     try:
-        config = load_front(path=chosen["--config"])
+        if place:
+            from quincepier.lifecycle.operators import Operators
+
+            operators = Operators(place)
+        config = load_front(path=chosen["--config"], judge=operators.judge if operators else None)
     except SettingsError as error:
         print(f"quincepier: {error}", file=sys.stderr)
         return 2
     if chosen["check-config"]:
-        print(summary(config))
+        print(summary(config) + (f"\n{operators.summary}" if operators else ""))
         return 0
     from quincepier.lifecycle import front, logs
 
-    logs.set_up()
-    return front.run(config, chosen["--config"])
+    logs.set_up(operators.log_format if operators else "text")
+    return front.run(config, chosen["--config"], operators)
 
 
 if __name__ == "__main__":
--- a/quincepier/addresses/__init__.py
+++ b/quincepier/addresses/__init__.py
@@ -1,8 +1,9 @@
 """The several addresses of one machine: which is dialled next, how long after the last, and which rests.
 
-It decides the order of a machine's addresses, the stagger between dials, who is set aside and for how long, and which
-dial of a race wins. It never opens a socket, reads a clock, or says anything about the machine behind the addresses:
-that is the decision module's. Read `order.py` first, then `book.py` and `race.py`; docs/addresses.md tells the whole.
+It decides the order of a machine's addresses, the stagger between dials, who is set aside and for how long,
+and which dial of a race wins. It never opens a socket, reads a clock, or says anything about the machine
+behind the addresses: that is the decision module's. Read `order.py` first, then `book.py` and `race.py`;
+docs/addresses.md tells the whole.
 """
 
 from quincepier.addresses.address import ADDRESSES_MOST, Address, Family
--- a/quincepier/addresses/address.py
+++ b/quincepier/addresses/address.py
@@ -20,8 +20,8 @@
 class Address:
     """One place where a machine listens.
 
-    `host` is an IP address in its canonical form, '' for a Unix socket; `port` is 1 to 65535, 0 for a Unix socket;
-    `path` is a path, or a name with '@' before it in the abstract space, '' for IP.
+    `host` is an IP address in its canonical form, '' for a Unix socket; `port` is 1 to 65535, 0 for a Unix
+    socket; `path` is a path, or a name with '@' before it in the abstract space, '' for IP.
     """
 
     family: Family
--- a/quincepier/addresses/book.py
+++ b/quincepier/addresses/book.py
@@ -11,13 +11,13 @@
 from quincepier.addresses.preference import Preference
 
 MS = 1_000_000
-MEAN_NEW, SPREAD_NEW, SPREADS = 1 / 8, 1 / 4, 4  # of RFC 6298, for times of connecting in place of round trips
+MEAN_NEW, SPREAD_NEW, SPREADS = 1 / 8, 1 / 4, 4  # of RFC 6298, for times of connecting
 JITTER = 0.25  # part of a wait, both ways: fronts that lost an address together do not try it together
 
 
 @dataclass(slots=True, frozen=True)
 class Limits:
-    """Nanoseconds and counts. All of them are the operators' to set; docs/addresses.md tells the defaults' reasons."""
+    """Nanoseconds and counts, all the operators' to set; docs/addresses.md tells the defaults' reasons."""
 
     stagger_first: int = 30 * MS  # between dials while nothing is known of the machine's times
     stagger_least: int = 10 * MS
@@ -43,8 +43,8 @@
 class Book:
     """Pure: time is passed in, chance is seeded.
 
-    An address counts as proved only by an answer that came over it. One that comes up and then breaks before any
-    answer failed as much as one that refuses: a dead relay may still accept.
+    An address counts as proved only by an answer that came over it. One that comes up and then breaks before
+    any answer failed as much as one that refuses: a dead relay may still accept.
     """
 
     def __init__(self, limits: Limits, preference: Preference, seed: int) -> None:
@@ -108,7 +108,7 @@
             entry.trial = 0
 
     def up(self, address: Address, took: int, now: int) -> None:
-        """It accepted, which proves nothing yet: what was set aside rests on until an answer comes over it."""
+        """It accepted, which proves nothing yet: what was set aside rests on until an answer comes."""
         self.spread += (abs(took - self.mean) - self.spread) * SPREAD_NEW if self.mean else took / 2
         self.mean += (took - self.mean) * MEAN_NEW if self.mean else max(took, 1)
         entry = self.entries.get(address)
--- a/quincepier/addresses/grammar.py
+++ b/quincepier/addresses/grammar.py
@@ -14,7 +14,7 @@
 from quincepier.addresses.address import Address, Family
 
 TEXT_MOST = 256  # characters of an address; nothing longer is looked at
-SUN_PATH = 108  # bytes of a Unix socket's address (unix(7)); a path ends in a NUL byte, a name begins with one
+SUN_PATH = 108  # bytes, unix(7): a path ends in a NUL byte, a name of the abstract space begins with one
 PORT_MOST = 65535
 
 
@@ -38,7 +38,7 @@
 _octet = regex(r"0|[1-9][0-9]{0,2}").desc("a number from 0 to 255 without leading zeros")
 
 
-@generate  # type: ignore[misc]
+@generate
 def _ipv4():  # type: ignore[no-untyped-def]
     parts = []
     for n in range(4):
@@ -52,7 +52,7 @@
     return Family.IP4, ".".join(parts)
 
 
-@generate  # type: ignore[misc]
+@generate
 def _ipv6():  # type: ignore[no-untyped-def]
     yield string("[").desc("'[' and an IPv6 address")
     at = yield index
@@ -67,7 +67,7 @@
     return Family.IP6, str(address)
 
 
-@generate  # type: ignore[misc]
+@generate
 def _tcp():  # type: ignore[no-untyped-def]
     yield string("tcp://").desc("'tcp://'").optional()
     family, host = yield _ipv6 | _ipv4
@@ -79,7 +79,7 @@
     return Address(family, host, port)
 
 
-@generate  # type: ignore[misc]
+@generate
 def _unix():  # type: ignore[no-untyped-def]
     yield string("unix:").desc("'unix:'")
     at = yield index
@@ -96,7 +96,7 @@
 _address = (_unix | _tcp) << eof.desc("the end")
 
 
-@generate  # type: ignore[misc]
+@generate
 def _network():  # type: ignore[no-untyped-def]
     at = yield index
     text = yield regex(r"[0-9A-Fa-f:.]+(/[0-9]{1,3})?").desc("a network")
@@ -118,7 +118,8 @@
     try:
         return parser.parse(text)
     except ParseError as error:
-        raise AddressError(text, error.index + 1, " or ".join(sorted(error.expected)) + " is wanted") from None
+        wanted = " or ".join(sorted(error.expected))
+        raise AddressError(text, error.index + 1, f"{wanted} is wanted") from None
     except _At as error:
         raise AddressError(text, error.index + 1, error.wanted + " is wanted") from None
 
--- a/quincepier/addresses/order.py
+++ b/quincepier/addresses/order.py
@@ -17,7 +17,7 @@
 
 from quincepier.addresses.address import Address, Family
 
-# RFC 6724, section 2.1: the default policy table's precedences. Loopback and mapped IPv4 as the table has them.
+# RFC 6724, section 2.1: the precedences of the default policy table.
 _POLICY = tuple(
     (netaddr.IPNetwork(prefix), precedence)
     for prefix, precedence in (
--- a/quincepier/addresses/preference.py
+++ b/quincepier/addresses/preference.py
@@ -44,5 +44,5 @@
         return address.family is Family.UNIX or netaddr.IPAddress(address.host) not in self.networks
 
     def grade(self, address: Address) -> int:
-        """The place of the first term that holds for it; what no term names comes after all that are named."""
+        """The place of the first term that holds for it; what no term names comes after all of them."""
         return next((n for n, term in enumerate(self.prefer) if term.holds(address)), len(self.prefer))
--- a/quincepier/addresses/race.py
+++ b/quincepier/addresses/race.py
@@ -1,8 +1,8 @@
-"""Races: how connections to one machine come up over its several addresses. Events in, actions out; no I/O, no clock.
+"""Races: how connections to one machine come up over its addresses. Events in, actions out; no I/O, no clock.
 
-A race is for one connection. It dials the first address of the order; when that has not come up after the stagger, or
-has failed, the next one too; the first that is up wins and the others are hung up. All races of a machine go by one
-book, looked at anew before each dial, so what one learnt the others use at once.
+A race is for one connection. It dials the first address of the order; when that has not come up after the
+stagger, or has failed, the next one too; the first that is up wins and the others are hung up. All races of a
+machine go by one book, looked at anew before each dial, so what one learnt the others use at once.
 """
 
 from __future__ import annotations
@@ -76,13 +76,15 @@
 
     def __init__(self, most: int, spare: Callable[[], bool] = lambda: True) -> None:
         self.most, self.spare, self.used, self.peak = most, spare, 0, 0
-        self.waiting: OrderedDict[object, None] = OrderedDict()  # machines that found no room, the first first
+        self.waiting: OrderedDict[object, bool] = OrderedDict()  # no room, and whether for a first dial
+
+    def _room(self, first: bool) -> bool:
+        return self.used < (max(self.most - self.most // 4, 1) if first else self.most)
 
     def take(self, who: object, first: bool) -> bool:
         """Room for a dial; one beside another of the same race needs a descriptor more than the race has."""
-        most = max(self.most - self.most // 4, 1) if first else self.most
-        if self.used >= most or not (first or self.spare()):
-            self.waiting[who] = None
+        if not self._room(first) or not (first or self.spare()):
+            self.waiting.setdefault(who, first)
             return False
         self.used += 1
         self.peak = max(self.peak, self.used)
@@ -92,10 +94,12 @@
         self.used -= 1
 
     def next(self) -> object | None:
-        """Who waits for room and may look again now; None where nobody does or there is none."""
-        if not self.waiting or self.used >= self.most:
+        """Who has waited longest of those for whom there is room now; None where there is none for anyone."""
+        if not self.waiting or not self._room(False):
             return None
-        return self.waiting.popitem(last=False)[0]
+        who = next((who for who, first in self.waiting.items() if self._room(first)), None)
+        self.waiting.pop(who, None)
+        return who
 
 
 @dataclass(slots=True)
@@ -119,8 +123,9 @@
 class Races:
     """All races of one machine."""
 
-    def __init__(self, book: Book, account: Account) -> None:
+    def __init__(self, book: Book, account: Account, owner: object = None) -> None:
         self.book, self.account = book, account
+        self.owner = self if owner is None else owner  # by whom the account knows this machine
         self.races: dict[int, _Race] = {}
         self.dials: dict[int, _Dialling] = {}
         self.numbers = self.dialled = 0
@@ -223,7 +228,7 @@
                 if not race.dials and len(self.dials) >= max(most - most // 2, 1):
                     continue  # room is left for those that fall back
                 address = self._next(race, order, now)
-                if address is not None and self.account.take(self, not race.dials):
+                if address is not None and self.account.take(self.owner, not race.dials):
                     self._dial(race, address, now)
                     order = [c.address for c in self.book.order(now)]
                     wake = min(wake or race.next_at, race.next_at)
--- a/quincepier/checks.py
+++ b/quincepier/checks.py
@@ -28,7 +28,8 @@
         """Count an event and log the first ones of its kind."""
         self.counts[kind] += 1
         if self.counts[kind] <= LINES_EACH:
-            logger.warning("{}{}{}", kind, ": " if detail else "", detail[:300])
+            told = {"event": kind} | ({"detail": detail[:300]} if detail else {})
+            logger.bind(**told).warning("{}{}{}", kind, ": " if detail else "", detail[:300])
 
     def changed(self) -> str:
         """The counters that moved since the last call, as text; empty where none did."""
--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -16,7 +16,7 @@
 from typing import Any, TypeVar
 
 from quincepier.interface import Effect, Group, RequestClass, Settings
-from quincepier.wire.changelog import ChangeEvent, FleetChange, read_address, read_changes
+from quincepier.wire.changelog import ChangeEvent, FleetChange, Judge, read_address, read_changes
 from quincepier.wire.errors import ProtocolError
 
 EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
@@ -252,9 +252,9 @@
         raise SettingsError(f"configuration holds seed={found[:30]!r}, not hex digits") from None
 
 
-def _known(keys: _Keys) -> tuple[int, tuple[ChangeEvent, ...]]:
+def _known(keys: _Keys, judge: Judge | None) -> tuple[int, tuple[ChangeEvent, ...]]:
     try:
-        last, events = read_changes(keys.take("known", "the events up to now", dict))
+        last, events = read_changes(keys.take("known", "the events up to now", dict), judge)
     except ProtocolError as error:
         raise SettingsError(f"configuration holds known: {error}") from None
     if not any(isinstance(event, FleetChange) and event.whole for event in events):
@@ -262,8 +262,11 @@
     return last, events
 
 
-def read_front(value: Any, environment: Mapping[str, str]) -> FrontConfig:
-    """The front's configuration, checked; the environment's name and address go before the file's."""
+def read_front(value: Any, environment: Mapping[str, str], judge: Judge | None = None) -> FrontConfig:
+    """The front's configuration, checked; the environment's name and address go before the file's.
+
+    `judge` is of the change log's reader: with it machines may have several addresses of any form it takes.
+    """
     if not isinstance(value, dict):
         raise SettingsError("configuration is not a JSON object")
     overrides = {"name": environment.get("ROUTER_NAME"), "listen": environment.get("ROUTER_LISTEN")}
@@ -272,7 +275,7 @@
     settings = read_settings(dict(lay_out(raw.value)))
     limits, site, report = keys.table("limits"), raw.table("limits"), raw.table("report")
     services = raw.take("services", "a list of classes", list)
-    last, events = _known(keys)
+    last, events = _known(keys, judge)
     zones = raw.names("zones")
     if settings.zone >= len(zones):
         raise SettingsError(f"configuration holds settings.zone={settings.zone}, past the list of zones")
@@ -298,7 +301,9 @@
     )
 
 
-def load_front(environment: Mapping[str, str] = os.environ, path: str | None = None) -> FrontConfig:
+def load_front(
+    environment: Mapping[str, str] = os.environ, path: str | None = None, judge: Judge | None = None
+) -> FrontConfig:
     """The configuration from the file at the path, or else at ROUTER_CONFIG."""
     place = path or environment.get("ROUTER_CONFIG")
     if not place:
@@ -314,7 +319,7 @@
         value = json.loads(raw)
     except (ValueError, RecursionError) as error:
         raise SettingsError(f"ROUTER_CONFIG={place} is not JSON: {error}") from None
-    return read_front(value, environment)
+    return read_front(value, environment, judge)
 
 
 # What a new configuration changes while the front serves; the rest counts from the next start.
--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -171,6 +171,7 @@
     note: Note
     waited: int
     report: tuple[float, ...]
+    another_way: bool = False  # a reset over one address of a machine that has others
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -7,7 +7,7 @@
 import os
 import resource
 import signal
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
@@ -23,6 +23,9 @@
 from quincepier.net.module import ModuleActor
 from quincepier.net.sockets import Descriptors, listen
 
+if TYPE_CHECKING:  # imported only where an operators' file is named
+    from quincepier.lifecycle.operators import Operators
+
 TICK = 0.1  # seconds between looks at the loop's lag
 SWEEP_EVERY, TELL_EVERY = 2, 100  # ticks
 # After SIGTERM clients come on for up to 0.6 s; the kill comes the longest deadline, three seconds at most,
@@ -33,13 +36,17 @@
 
 
 class Front:
-    def __init__(self, config: FrontConfig, path: str | None = None) -> None:
-        self.config, self.path, self.checks = config, path, Checks()
+    def __init__(
+        self, config: FrontConfig, path: str | None = None, operators: Operators | None = None
+    ) -> None:
+        self.config, self.path, self.checks, self.operators = config, path, Checks(), operators
         budget = share_out(config.memory_mb, own_memory(), config.max_open)
         self.descriptors = Descriptors(config.sockets)
         reserve = self.descriptors.clients_most + self.descriptors.caches_most
         self.pool = BufferPool(budget.buffers, min(reserve, budget.buffers // 2))
         self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, self._make_room, budget)
+        if operators is not None:
+            operators.equip(self.module)
         self.shop = Shop(self.module.means, lambda: self.module.standing)
         self.changes = ChangesActor(self.module.means)
         self.term = asyncio.Event()
@@ -60,7 +67,8 @@
         self.changes.start()
         listener.start()
         host, port = self.config.listen
-        logger.info("front {} serves on {}:{}", self.config.name, host, port)
+        told = logger.bind(event="front serves", front=self.config.name, address=f"{host}:{port}")
+        told.info("front {} serves on {}:{}", self.config.name, host, port)
         upkeep = loop.create_task(self._upkeep())
         gc.collect()
         gc.freeze()
@@ -78,17 +86,27 @@
         self._tell("stopped")
 
     def reload(self) -> None:
-        """SIGHUP: read the configuration again. One that can't be used is logged, and the old one stays."""
+        """SIGHUP: read both files again. Where one can't be used that is logged, and both old ones stay."""
+        means, file = self.module.means, None
         try:
-            config, now, later = reloaded(self.module.means.config, load_front(path=self.path))
+            config, now, later = reloaded(means.config, load_front(path=self.path, judge=means.judge))
+            if self.operators is not None:
+                file = self.operators.again()
         except SettingsError as error:
-            self.checks.event("new configuration not taken", str(error))
+            for fault in getattr(error, "faults", [str(error)]):
+                self.checks.event("new configuration not taken", fault)
             return
-        self.module.means.config = config
+        means.config = config
+        if self.operators is not None and file is not None:
+            changed, left = self.operators.take(file, self.module)
+            now, later = now + changed, later + left
         self.checks.count("configurations read again")
-        logger.info("configuration read again: {} changed", ", ".join(now) or "nothing")
+        told, held = ", ".join(now) or "nothing", ", ".join(later)
+        read = logger.bind(event="configuration read again", keys=told)
+        read.info("configuration read again: {} changed", told)
         if later:
-            logger.warning("changed only at the next start: {}", ", ".join(later))
+            told_later = logger.bind(event="changed only at the next start", keys=held)
+            told_later.warning("changed only at the next start: {}", held)
         if "changelog" in now:
             self.changes.move()
 
@@ -97,7 +115,8 @@
         began = clock.now()
         deadlines = [c.deadline / clock.SECOND for c in self.config.settings.classes]
         most = min(max(deadlines, default=0.0), DRAIN_DEADLINE_MOST) + 0.7 - DRAIN_END
-        logger.info("drain: {} requests open", self.module.requests.unanswered)
+        left = self.module.requests.unanswered
+        logger.bind(event="drain", requests=left).info("drain: {} requests open", left)
         while True:
             await asyncio.sleep(TICK / 5)
             spent = (clock.now() - began) / clock.SECOND
@@ -105,7 +124,8 @@
                 break
         if not self._quiet():
             left = self.module.requests.unanswered
-            logger.info("drain ends with {} requests open, answered as failed", left)
+            told = logger.bind(event="drain ends", requests=left)
+            told.info("drain ends with {} requests open, answered as failed", left)
             self.module.fail_open()
             await asyncio.sleep(FLUSH)
 
@@ -131,11 +151,20 @@
             except Exception as error:
                 self.checks.event("exception in the upkeep", f"{type(error).__name__}: {error}")
             if ticks % TELL_EVERY == 0 and (moved := self.checks.changed()):
-                logger.info("counters: {}", moved)
+                logger.bind(event="counters", detail=moved).info("counters: {}", moved)
 
     def _tell(self, why: str) -> None:
         used = resource.getrusage(resource.RUSAGE_SELF)
-        logger.info(
+        told = logger.bind(
+            event=f"front {why}",
+            front=self.config.name,
+            cpu_s=round(used.ru_utime + used.ru_stime, 2),
+            memory_kb=used.ru_maxrss,
+            descriptors=self.descriptors.peak,
+            lag_ms=round(self.lag_most / clock.MS),
+            requests=self.module.requests.taken,
+        )
+        told.info(
             "front {} {}: CPU {:.2f} s, memory {:.0f} MB at most, descriptors {} at most, buffers {} of {}, "
             "loop lag {:.0f} ms at most, requests {}; counters: {}",
             self.config.name,
@@ -151,13 +180,13 @@
         )
 
 
-def run(config: FrontConfig, path: str | None = None) -> int:
+def run(config: FrontConfig, path: str | None = None, operators: Operators | None = None) -> int:
     """The exit code: 0 after a drain, 1 where the address can't be had."""
     import uvloop
 
     async def main() -> int:
         try:
-            await Front(config, path).serve()
+            await Front(config, path, operators).serve()
         except OSError as error:
             host, port = config.listen
             logger.error("can't listen on {}:{}: {}", host, port, os.strerror(error.errno or 0))
--- /dev/null
+++ b/quincepier/lifecycle/operators.py
@@ -0,0 +1,78 @@
+"""The operators' file in the life of a front: read at its start and at SIGHUP, its sections put to work.
+
+Imported only where a file is named.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincepier.lifecycle import logs
+from quincepier.operator import LogSection, OperatorFile, load
+from quincepier.wire.changelog import Judge
+
+if TYPE_CHECKING:
+    from quincepier.addresses.section import AddressesSection
+    from quincepier.net.module import ModuleActor
+
+
+AT_A_START = ("addresses",)  # sections that come and go only at a start; what they hold changes at SIGHUP
+
+
+class Operators:
+    """The file as it holds now."""
+
+    def __init__(self, path: str) -> None:
+        """Raises OperatorError with all that is wrong with the file."""
+        self.path, self.file = path, load(path)
+
+    @property
+    def log_format(self) -> str:
+        return (self.file.get(LogSection) or LogSection()).format
+
+    @property
+    def judge(self) -> Judge | None:
+        """Of the addresses in change-log records, where machines may have several."""
+        if self.file.named("addresses") is None:
+            return None
+        from quincepier.addresses import parse
+
+        return parse
+
+    @property
+    def summary(self) -> str:
+        return f"operators' file is good: {', '.join(self.file.names) or 'no sections'}"
+
+    def _addresses(self, file: OperatorFile) -> AddressesSection | None:
+        if file.named("addresses") is None:
+            return None
+        from quincepier.addresses.section import AddressesSection
+
+        return file.get(AddressesSection)
+
+    def equip(self, module: ModuleActor) -> None:
+        """Before the front serves: what the sections ask for."""
+        section = self._addresses(self.file)
+        if section is not None:
+            from quincepier.net.dialer import Dialer
+
+            module.means.judge = self.judge
+            module.shared.dialer = Dialer(module.means, section, module.shared.descriptor)
+
+    def again(self) -> OperatorFile:
+        """The file read anew, checked and not yet in force; raises OperatorError."""
+        return load(self.path)
+
+    def take(self, file: OperatorFile, module: ModuleActor) -> tuple[list[str], list[str]]:
+        """Put a file in force that was read anew: the sections that changed, and those left for a start."""
+        names = dict.fromkeys((*self.file.names, *file.names))
+        differ = [name for name in names if file.named(name) != self.file.named(name)]
+        once = [name for name in differ if None in (file.named(name), self.file.named(name))]
+        later = [name for name in once if name in AT_A_START]
+        self.file = file
+        if "log" in differ:
+            logs.set_up(self.log_format)
+        section = self._addresses(file)
+        if "addresses" in differ and "addresses" not in later and section is not None:
+            module.follow_addresses(section)
+        return [n for n in differ if n not in later], later
--- a/quincepier/memory/requests.py
+++ b/quincepier/memory/requests.py
@@ -43,7 +43,9 @@
     no: int
     cache: int
     at: int
+    source: int = -1
     ended: bool = False
+    recalled: bool = False  # at a purge, or as its cache or source leaves: its first byte is not to go out
 
 
 class Requests:
@@ -69,8 +71,8 @@
         self.unanswered += 1
         self.taken += 1
 
-    def attempt(self, request: OpenRequest, cache: int, now: int) -> OpenAttempt:
-        attempt = OpenAttempt(request, len(request.attempts), cache, now)
+    def attempt(self, request: OpenRequest, cache: int, now: int, source: int = -1) -> OpenAttempt:
+        attempt = OpenAttempt(request, len(request.attempts), cache, now, source)
         request.attempts.append(attempt)
         return attempt
 
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -10,6 +10,7 @@
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from quincepier import clock
 from quincepier.config import FrontConfig
@@ -19,11 +20,15 @@
 from quincepier.net.actor import Actor
 from quincepier.net.means import Means
 from quincepier.net.messages import CallOff, Check, Checked, Ended, Leave, Recall, Send, ToCache
-from quincepier.net.sockets import NO_BUFFER_PAUSE, connect
+from quincepier.net.sockets import NO_BUFFER_PAUSE, Unreached, Unsent, connect, send_proved
 from quincepier.translate import ENDINGS, note_of, report_of, waited_of
 from quincepier.wire import lines
 from quincepier.wire.errors import ProtocolError
 
+if TYPE_CHECKING:  # imported only where machines have several addresses
+    from quincepier.addresses import Address
+    from quincepier.net.dialer import Dialer, Way
+
 MAILBOX_MOST = 4096
 GHOSTS_MOST = 256  # ids that were out on one connection; none of them goes out there again
 PROBE_WORDS = {"well": Ending.OK, "ill": Ending.ERROR}
@@ -42,6 +47,7 @@
         self.descriptors, self.module, self.make_room = means.descriptors, means.module, make_room
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.actors: dict[int, CacheActor] = {}
+        self.dialer: Dialer | None = None  # where the operators' file has several addresses a machine
         self.pool.on_free = self.freed
 
     @property
@@ -90,8 +96,10 @@
         self.outgoing: deque[tuple[OpenAttempt | Probe | None, bytes]] = deque()
         self.started: set[OpenAttempt | Probe] = set()  # those whose command may have been written whole
         self.wake: asyncio.Future[None] | None = None
-        self.lost = self.doubtful = self.absent = False
+        self.lost = self.doubtful = self.absent = self.begun = False
         self.heard = 0
+        self.address: Address | None = None  # that of several which came up
+        self.up_at, self.proved = 0, False  # when, and whether an answer has come over it
         self.used: int = clock.now()
         self.between = True  # no answer is half read
         self.surplus = False  # the one being read is passed over
@@ -114,6 +122,8 @@
         self.open.pop(id, None)
         if attempt not in self.started:
             self.outgoing = deque(item for item in self.outgoing if item[0] is not attempt)
+            if self.sock is None and not self.open and self.actor.way is not None:
+                self.close()  # nobody waits for its race
             return
         self.started.discard(attempt)
         self.past(id)
@@ -121,19 +131,26 @@
         # Nothing heard since it went out: the peer may have lost this connection. New ones try it.
         silent = self.heard < attempt.at and clock.now() - attempt.at > self.shared.config.dial_timeout
         self.doubtful = self.doubtful or silent
+        if silent:
+            self.against("silent")
 
     def past(self, id: str) -> None:
         self.ghosts[id] = None
         if len(self.ghosts) > GHOSTS_MOST:
             self.ghosts.popitem(last=False)
 
+    def against(self, why: str) -> None:
+        """A sign against its address and not the machine: no answer where one was owed, or none ever."""
+        if self.address is not None and self.actor.way is not None and (self.started or not self.proved):
+            self.actor.way.broke(self.address, self.up_at, why)
+
     @property
     def idle(self) -> bool:
         return self.sock is not None and not self.open and not self.outgoing and not self.lost
 
     def close(self) -> None:
         self.lost = True
-        if self.task is not None:
+        if self.task is not None and self.begun:  # a task that never ran would leave its descriptor counted
             self.task.cancel()
 
     def stalled(self, now: int) -> bool:
@@ -142,15 +159,28 @@
 
     async def run(self) -> None:
         config, work = self.shared.config, list[asyncio.Task[None]]()
+        self.begun = True
         try:
-            self.sock = await connect(self.actor.address, config.dial_timeout / clock.SECOND)
+            if self.lost:
+                return
+            if self.actor.way is not None:
+                self.sock, self.address = await self.actor.way.connect()
+                self.up_at = clock.now()
+            else:
+                assert self.actor.address is not None
+                self.sock = await connect(self.actor.address, config.dial_timeout / clock.SECOND)
             parts = self._write(self.sock), self._read(self.sock)
             work = [asyncio.ensure_future(part) for part in parts]
             done, _ = await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()
+            self.against("ended")
         except ProtocolError as error:
+            self.against("an answer that can't be read")
             self.shared.checks.event("bad answer of a cache", f"{self.actor.host}: {error}")
+        except Unreached as error:
+            self.absent = error.absent
+            self.shared.checks.count("cache connections not up over any address")
         except TimeoutError:
             self.absent = True
             self.shared.checks.count("cache connections not up in time")
@@ -159,6 +189,7 @@
             self.shared.checks.count("cache connections refused")
         except OSError:  # told to the module by how its attempts end
             self.shared.checks.count("cache connections reset")
+            self.against("reset")
         finally:
             for task in work:
                 task.cancel()
@@ -180,11 +211,17 @@
         if self.body is not None:
             self.body.release()
             self.body = None
-        for what in list(self.open.values()):
-            unsent = Ending.CONNECT_FAILED if self.absent else Ending.MOOT
-            ending = Ending.RESET if what in self.started else unsent
-            self.actor.ended(what, ending, clock.now())
+        unwritten = {what: command for what, command in self.outgoing if what is not None}
+        way, open = self.actor.way, dict(self.open)
         self.open.clear()
+        for id, what in open.items():
+            if what in self.started:
+                other = self.address is not None and way is not None and way.another(self.address)
+                self.actor.ended(what, Ending.RESET, clock.now(), other)
+            elif self.address is not None and what in unwritten:
+                self.actor.move_on(id, what, unwritten[what])
+            else:
+                self.actor.ended(what, Ending.CONNECT_FAILED if self.absent else Ending.MOOT, clock.now())
         self.started.clear()
         self.outgoing.clear()
 
@@ -195,13 +232,26 @@
                 self.wake = loop.create_future()
                 await self.wake
             what, command = self.outgoing.popleft()
+            if isinstance(what, OpenAttempt) and what.recalled:  # looked at right before its first byte
+                self.open.pop(what.request.job, None)
+                self.actor.ended(what, Ending.MOOT, clock.now())
+                continue
             if what is not None:
                 self.started.add(what)
             try:
-                await loop.sock_sendall(sock, command)
-            except OSError:  # its last bytes were not taken
+                if self.address is None:
+                    await loop.sock_sendall(sock, command)
+                else:
+                    await send_proved(sock, command)
+            except Unsent:
                 if what is not None:
                     self.started.discard(what)
+                    self.outgoing.appendleft((what, command))
+                raise
+            except OSError:  # its last bytes were not taken
+                # what went out in part over one of several addresses counts as read
+                if what is not None and self.address is None:
+                    self.started.discard(what)
                 raise
 
     async def _read(self, sock: socket.socket) -> None:
@@ -244,6 +294,9 @@
     def _whole(self, at: int) -> None:
         head, body, self.head, self.body = self.head, self.body, None, None
         assert head is not None
+        if self.address is not None and not self.proved and self.actor.way is not None:
+            self.proved = True
+            self.actor.way.heard(self.address)
         what = None if self.surplus else self.open.pop(head.id, None)
         if what is None:  # or given up before its answer was whole
             known = head.id in self.ghosts
@@ -261,9 +314,11 @@
 class CacheActor(Actor[ToCache]):
     name = "cache"
 
-    def __init__(self, shared: Shared, number: int, host: str, address: tuple[str, int]) -> None:
+    def __init__(self, shared: Shared, number: int, host: str, address: tuple[str, int] | None) -> None:
         super().__init__(shared.checks, MAILBOX_MOST)
         self.shared, self.number, self.host, self.address = shared, number, host, address
+        self.way: Way | None = None if shared.dialer is None else shared.dialer.way(number, host)
+        self.moves: dict[OpenAttempt | Probe, int] = {}
         self.connections: list[Connection] = []
         self.out: dict[OpenAttempt | Probe, tuple[str, Connection]] = {}
         self.timers: dict[OpenAttempt | Probe, asyncio.TimerHandle] = {}
@@ -292,6 +347,9 @@
             self.ended(message.attempt, Ending.RESET, clock.now())
 
     def _send(self, id: str, what: OpenAttempt | Probe, command: bytes, timeout: int) -> None:
+        if isinstance(what, OpenAttempt) and what.recalled:  # as it waited in the mailbox
+            self.ended(what, Ending.MOOT, clock.now())
+            return
         connection = self._connection(id)
         if connection is None:
             self.checks.event("no descriptor for a cache connection", self.host)
@@ -302,13 +360,25 @@
         self.timers[what] = loop.call_later(timeout / clock.SECOND, self._give_up, what, Ending.TIMEOUT)
         connection.send(id, what, command)
 
+    def move_on(self, id: str, what: OpenAttempt | Probe, command: bytes) -> None:
+        """Not one byte of it was written: it goes on over another connection as the same attempt."""
+        moves = self.moves[what] = self.moves.get(what, 0) + 1
+        most = len(self.way.book.entries) if self.way is not None else 0
+        connection = self._connection(id) if moves <= most and not self.leaving else None
+        if connection is None:
+            self.ended(what, Ending.MOOT, clock.now())
+            return
+        self.checks.count("attempts gone on over another connection")
+        self.out[what] = id, connection
+        connection.send(id, what, command)
+
     def _connection(self, id: str) -> Connection | None:
         """One for each while descriptors allow, since a spoilt answer ends all that is out with it.
 
         The idle one used last; else a new one, within this machine's share; else the one with least on it.
         """
         for c in reversed(self.connections):  # those used last are at the end
-            if c.idle and not c.doubtful and id not in c.ghosts:
+            if c.idle and not c.doubtful and id not in c.ghosts and not self._rests(c):
                 return c
         now, streams = clock.now(), self.shared.config.streams
         able = [c for c in self.connections if not (c.lost or c.doubtful or id in c.ghosts or c.stalled(now))]
@@ -324,6 +394,11 @@
         connection.task = self.spawn(connection.run())
         return connection
 
+    def _rests(self, connection: Connection) -> bool:
+        """Whether its address is set aside while another is not."""
+        address, way = connection.address, self.way
+        return address is not None and way is not None and way.resting(address)
+
     def freed(self, connection: Connection) -> None:
         """It has nothing out: the next attempt takes it first, and those left over grow old and close."""
         self.connections.remove(connection)
@@ -341,17 +416,18 @@
 
     def _over(self, what: OpenAttempt | Probe) -> None:
         self.out.pop(what, None)
+        self.moves.pop(what, None)
         if (timer := self.timers.pop(what, None)) is not None:
             timer.cancel()
 
-    def ended(self, what: OpenAttempt | Probe, ending: Ending, at: int) -> None:
+    def ended(self, what: OpenAttempt | Probe, ending: Ending, at: int, another_way: bool = False) -> None:
         """Without an answer."""
         self._over(what)
         if isinstance(what, Probe):
             self.shared.module.push(Checked(self.number, ending, at - what.at, ()))
         elif self.checks.must(not what.ended, "an attempt ends once"):
             what.ended = True
-            self.shared.module.push(Ended(what, ending, at))
+            self.shared.module.push(Ended(what, ending, at, another_way=another_way))
 
     def answered(self, what: OpenAttempt | Probe, head: lines.Head, body: Body | None, at: int) -> None:
         self._over(what)
@@ -364,6 +440,10 @@
             end = Ended(what, ENDINGS[head.word], at, note_of(head), waited_of(head), report, body, still)
             self.shared.module.push(end)
 
+    def cancel(self) -> None:
+        self.leaving = True  # nothing goes on elsewhere
+        super().cancel()
+
     def sweep(self, now: int, late: bool) -> None:
         """Close what has been idle for as long as the settings say, less a second to be the first."""
         idle = max(self.shared.config.idle - clock.SECOND, self.shared.config.idle // 2)
@@ -371,12 +451,18 @@
             done = now - connection.used > idle or self.leaving or connection.doubtful
             if (done and connection.idle) or (not late and connection.stalled(now)):
                 if not connection.between:
+                    connection.against("half an answer, then nothing")
                     self.checks.event("half an answer of a cache, then nothing", self.host)
                 connection.close()
 
-    def move(self, address: tuple[str, int]) -> None:
-        """The same host has another address: new connections go there."""
-        if address != self.address:
+    def move(self, address: tuple[str, int] | None, dials: tuple[str, ...], anew: bool = False) -> None:
+        """The list tells the host's addresses: new connections go there, those to others end once idle."""
+        if self.way is not None:
+            if anew or dials != self.way.dials:
+                left = self.way.replace(dials)
+                for connection in self.connections:
+                    connection.doubtful = connection.doubtful or connection.address in left
+        elif address is not None and address != self.address:
             self.address = address
             for connection in self.connections:
                 connection.doubtful = True
--- a/quincepier/net/changes.py
+++ b/quincepier/net/changes.py
@@ -69,7 +69,7 @@
                         self.moved = False
                         self._close()
                         continue
-                    self._take(*decode_changes(self.polling.result()))
+                    self._take(*decode_changes(self.polling.result(), self.means.judge))
                     self.failures = 0
                 except Exception as error:  # whatever it is, it is tried again
                     self._close()
--- /dev/null
+++ b/quincepier/net/dialer.py
@@ -0,0 +1,297 @@
+"""The shell of the package `addresses`: dials, timers and sockets of races, and nothing decided.
+
+One Dialer for the front, one Way for each machine. A Way gives connected sockets; which address each goes to,
+when the next dial starts and who wins is told by `addresses.Races`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable, Iterable
+
+from quincepier import clock
+from quincepier.addresses import (
+    ADDRESSES_MOST,
+    Account,
+    Address,
+    AddressError,
+    Book,
+    Cause,
+    Dial,
+    Family,
+    Hang,
+    Lost,
+    Races,
+    Wake,
+    Won,
+    parse,
+)
+from quincepier.addresses.race import Action
+from quincepier.addresses.section import AddressesSection
+from quincepier.net.means import Means
+from quincepier.net.sockets import Unreached, no_delay
+
+CAUSES = {
+    errno.ECONNREFUSED: Cause.REFUSED,
+    errno.ECONNRESET: Cause.RESET,
+    errno.ECONNABORTED: Cause.RESET,
+    errno.EPIPE: Cause.RESET,
+    errno.ENETUNREACH: Cause.UNREACHABLE,
+    errno.EHOSTUNREACH: Cause.UNREACHABLE,
+    errno.ENETDOWN: Cause.UNREACHABLE,
+    errno.EAFNOSUPPORT: Cause.UNREACHABLE,
+    errno.ENOENT: Cause.MISSING,
+    errno.ENOTDIR: Cause.MISSING,
+    errno.ENOTSOCK: Cause.MISSING,
+    errno.EPROTOTYPE: Cause.MISSING,
+    errno.EACCES: Cause.FORBIDDEN,
+    errno.EPERM: Cause.FORBIDDEN,
+    errno.EMFILE: Cause.OURS,
+    errno.ENFILE: Cause.OURS,
+    errno.ENOBUFS: Cause.OURS,
+    errno.ENOMEM: Cause.OURS,
+    errno.EADDRNOTAVAIL: Cause.OURS,  # no free port of our own
+}
+FAMILIES = {Family.UNIX: socket.AF_UNIX, Family.IP6: socket.AF_INET6, Family.IP4: socket.AF_INET}
+BACKLOG_FULL_PAUSE = 0.002  # seconds until a Unix socket whose backlog is full is tried again
+
+
+def cause_of(error: OSError) -> Cause:
+    """What a failed dial showed; what has no word of its own counts as unreachable."""
+    if isinstance(error, TimeoutError):
+        return Cause.NOT_UP
+    return CAUSES.get(error.errno or 0, Cause.UNREACHABLE)
+
+
+async def dial(address: Address, timeout: float) -> socket.socket:
+    """A socket connected to the address; OSError where it is not, TimeoutError after so many seconds."""
+    sock = socket.socket(FAMILIES[address.family], socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        async with asyncio.timeout(timeout):
+            if address.family is Family.UNIX:
+                await _dial_unix(sock, address)
+            else:
+                await asyncio.get_running_loop().sock_connect(sock, address.target)
+                no_delay(sock)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+async def _dial_unix(sock: socket.socket, address: Address) -> None:
+    """A Unix socket is up at once or not at all.
+
+    With a full backlog connect says EAGAIN, which event loops take for a dial under way and then, as its
+    socket counts as writable, for one that is up: so it is asked again here.
+    """
+    while True:
+        try:
+            sock.connect(address.target)
+            return
+        except BlockingIOError:
+            await asyncio.sleep(BACKLOG_FULL_PAUSE)
+
+
+class Way:
+    """The way to one machine: connections over whichever of its addresses is up first."""
+
+    def __init__(self, dialer: Dialer, host: str, seed: int) -> None:
+        self.dialer, self.host = dialer, host
+        self.book = Book(dialer.section.limits, dialer.preference, seed)
+        self.races = Races(self.book, dialer.account, self)
+        self.dials: tuple[str, ...] | None = None  # as the change log told them last
+        self.waiting: dict[int, asyncio.Future[tuple[socket.socket, Address]]] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.up: dict[int, socket.socket] = {}  # connected, for the winner of the turn
+        self.alarm: asyncio.TimerHandle | None = None
+        self.extras = 0
+
+    async def connect(self) -> tuple[socket.socket, Address]:
+        """A connected socket and its address; raises Unreached where every address has failed."""
+        number, actions = self.races.start(clock.now())
+        won: asyncio.Future[tuple[socket.socket, Address]] = asyncio.get_running_loop().create_future()
+        self.waiting[number] = won
+        self.perform(actions)
+        try:
+            return await won
+        except asyncio.CancelledError:
+            if won.done() and not won.cancelled() and won.exception() is None:
+                won.result()[0].close()
+            raise
+        finally:
+            if self.waiting.pop(number, None) is not None:
+                self.perform(self.races.drop(number, clock.now()))
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        loop = asyncio.get_running_loop()
+        for action in actions:
+            match action:
+                case Dial(_, number, address):
+                    self.dialer.checks.count("dials")
+                    self.tasks[number] = loop.create_task(self._dial(number, address))
+                case Hang(number):
+                    self._hang(number)
+                case Won(race, number, address):
+                    sock, future = self.up.pop(number), self.waiting.pop(race, None)
+                    if future is None or future.done():
+                        sock.close()
+                    else:
+                        future.set_result((sock, address))
+                case Lost(race, absent, why):
+                    future = self.waiting.pop(race, None)
+                    if future is not None and not future.done():
+                        future.set_exception(Unreached(absent, why))
+                case Wake(at):
+                    if self.alarm is not None:
+                        self.alarm.cancel()
+                    wait = max(at - clock.now(), 0) / clock.SECOND
+                    self.alarm = loop.call_later(wait, self.tick)
+        self._account()
+
+    def _account(self) -> None:
+        """Count descriptors of dials beside a race's first; room that is free goes to who waits longest."""
+        extras = self.races.extras
+        if extras != self.extras:
+            self.dialer.means.descriptors.cache(extras - self.extras)
+            self.extras = extras
+        self.dialer.share_room()
+
+    def tick(self) -> None:
+        self.alarm = None
+        self.perform(self.races.tick(clock.now()))
+
+    async def _dial(self, number: int, address: Address) -> None:
+        timeout = self.dialer.means.config.dial_timeout / clock.SECOND
+        try:
+            sock = await dial(address, timeout)
+        except OSError as error:
+            self._forget(number)
+            cause = cause_of(error)
+            self.dialer.checks.count(f"dials failed: {cause.value}")
+            self.perform(self.races.failed(number, cause, clock.now()))
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:  # whatever it is, it ends this dial alone
+            self._forget(number)
+            self.dialer.checks.event("exception in a dial", f"{type(error).__name__}: {error}")
+            self.perform(self.races.failed(number, Cause.OURS, clock.now()))
+        else:
+            self._forget(number)
+            self.up[number] = sock
+            self.perform(self.races.up(number, clock.now()))
+            if (left := self.up.pop(number, None)) is not None:
+                left.close()
+
+    def _forget(self, number: int) -> None:
+        self.tasks.pop(number, None)
+
+    def _hang(self, number: int) -> None:
+        if (task := self.tasks.pop(number, None)) is not None:
+            task.cancel()
+        if (sock := self.up.pop(number, None)) is not None:
+            sock.close()
+        self.dialer.checks.count("dials hung up")
+
+    # What connections show
+
+    def replace(self, dials: tuple[str, ...]) -> set[Address]:
+        """The list or the operators tell other addresses. Returns those that left."""
+        self.dials = dials
+        addresses = self.dialer.addresses(self.host, dials)
+        left = self.book.replace(addresses)
+        if not self.book.entries:
+            self.dialer.checks.event("no allowed address of a machine", self.host)
+        if self.races.races:
+            self.perform(self.races.moved(clock.now()))
+        return left
+
+    def heard(self, address: Address) -> None:
+        self.book.heard(address)
+
+    def broke(self, address: Address, up_at: int, why: str) -> None:
+        """A connection ended, or stayed silent, before any answer came over it."""
+        if self.book.failed(address, up_at, clock.now()):
+            self.dialer.checks.event("address set aside", f"{self.host} {address}: {why}")
+
+    def resting(self, address: Address) -> bool:
+        """Whether it rests while another does not."""
+        now = clock.now()
+        return self.book.resting(address, now) and self.book.another(address, now)
+
+    def another(self, address: Address) -> bool:
+        return self.book.another(address, clock.now())
+
+    def close(self) -> None:
+        """The machine is gone: nothing is dialled any more."""
+        for number in list(self.races.races):
+            self.perform(self.races.drop(number, clock.now()))
+            if (future := self.waiting.pop(number, None)) is not None:
+                future.cancel()
+        if self.alarm is not None:
+            self.alarm.cancel()
+
+
+class Dialer:
+    """What the ways of all machines share: the operators' section, the account of dials, the descriptors."""
+
+    def __init__(self, means: Means, section: AddressesSection, spare: Callable[[], bool]) -> None:
+        self.means, self.checks = means, means.checks
+        self.section, self.preference = section, section.preference
+        self.account = Account(section.limits.dials_all, spare)
+        self.ways: dict[int, Way] = {}
+        self.sharing = False
+
+    def way(self, number: int, host: str) -> Way:
+        """The way to a machine, kept until it is forgotten. Chance of each follows from the front's seed."""
+        if number not in self.ways:
+            self.ways[number] = Way(self, host, self.means.config.seed ^ number)
+        return self.ways[number]
+
+    def forget(self, number: int) -> None:
+        way = self.ways.pop(number, None)
+        if way is not None:
+            way.close()
+            self.account.waiting.pop(way, None)
+
+    def configure(self, section: AddressesSection) -> None:
+        """The operators' file was read again: from the next dial on; what is up stays."""
+        self.section, self.preference = section, section.preference
+        self.account.most = section.limits.dials_all
+        for way in self.ways.values():
+            way.book.limits, way.book.preference = section.limits, self.preference
+
+    def addresses(self, host: str, dials: Iterable[str]) -> list[Address]:
+        """Those of the change log first, then the operators'; at most so many."""
+        found: dict[Address, None] = {}
+        for text in dials:
+            try:
+                found[parse(text)] = None
+            except AddressError as error:
+                self.checks.event("bad address of a machine", f"{host}: {error}")
+        found.update(dict.fromkeys(self.section.machines.get(host, ())))
+        if len(found) > ADDRESSES_MOST:
+            self.checks.event("too many addresses of a machine", f"{host}: {ADDRESSES_MOST} are used")
+        return list(found)[:ADDRESSES_MOST]
+
+    def share_room(self) -> None:
+        """Let machines look again that found no room in the account, each once a turn."""
+        if self.sharing:
+            return
+        self.sharing = True
+        try:
+            for _ in range(len(self.account.waiting)):
+                way = self.account.next()
+                if not isinstance(way, Way):
+                    break
+                way.perform(way.races.tick(clock.now()))
+        finally:
+            self.sharing = False
+
+
+def judge(text: str) -> None:
+    """For the change log's reader: raises ValueError where a text is no address of any kind."""
+    parse(text)
--- a/quincepier/net/means.py
+++ b/quincepier/net/means.py
@@ -11,6 +11,7 @@
 from quincepier.net.actor import Mailbox
 from quincepier.net.messages import ToModule
 from quincepier.net.sockets import Descriptors
+from quincepier.wire.changelog import Judge
 
 
 @dataclass(slots=True)
@@ -21,3 +22,4 @@
     descriptors: Descriptors
     module: Mailbox[ToModule]
     budget: Budget
+    judge: Judge | None = None  # of addresses, where machines may have several
--- a/quincepier/net/messages.py
+++ b/quincepier/net/messages.py
@@ -82,6 +82,7 @@
     report: tuple[float, ...] = ()
     body: Body | None = None
     still: bool = False
+    another_way: bool = False  # the machine has an address beside the one that broke
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -6,6 +6,7 @@
 import heapq
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
@@ -17,7 +18,7 @@
 from quincepier.memory.budget import Budget
 from quincepier.memory.members import Directory
 from quincepier.memory.pool import BufferPool
-from quincepier.memory.requests import OpenRequest, Requests
+from quincepier.memory.requests import OpenAttempt, OpenRequest, Requests
 from quincepier.net.actor import Actor
 from quincepier.net.cache import CacheActor, Shared
 from quincepier.net.means import Means
@@ -42,6 +43,9 @@
 from quincepier.wire.changelog import BadRecord, ChangeEvent, FleetChange, PurgeRecord
 from quincepier.wire.errors import ProtocolError
 
+if TYPE_CHECKING:  # imported only where machines have several addresses
+    from quincepier.addresses.section import AddressesSection
+
 MAILBOX_MOST = 1024
 TURNS = 32  # messages handled before others get the loop
 
@@ -174,7 +178,7 @@
     def _ended(self, end: Ended) -> None:
         attempt = end.attempt
         request = attempt.request
-        event = attempt_ended(attempt, end.ending, end.at, end.note, end.waited, end.report)
+        event = attempt_ended(attempt, end)
         if end.ending is Ending.OK and not request.over:
             self._answer(Answer(request, 200, end.body, end.still))
         elif end.body is not None:
@@ -194,7 +198,11 @@
             except ProtocolError as error:
                 self.checks.event("bad record of the change log", str(error))
                 return
+            for host in event.hosts:
+                for fault in host.faults:
+                    self.checks.event("bad address of a machine", f"{host.host}: {fault}")
             self.standing = self.standing or event.whole
+            self._recall_from(news)
             self._tell(news)
             self._follow_list()
         elif isinstance(event, BadRecord):
@@ -205,10 +213,33 @@
         for request in list(self.requests.open.values()):
             if request.object == purge.object or (purge.object is None and request.group == purge.group):
                 for attempt in request.attempts:
-                    if not attempt.ended and (cache := self.caches.get(attempt.cache)) is not None:
-                        cache.mailbox.push(Recall(attempt))
-
-    def _follow_list(self) -> None:
+                    self._take_back(attempt)
+
+    def _recall_from(self, news: io.ListNews) -> None:
+        """So does what is for a machine told to drain or be gone, or names it as the source."""
+        members = {m.cache: m.state for m in news.members}
+        leaving = {cache for cache, state in members.items() if state is not io.CacheState.READY}
+        if news.scope is not ListScope.CHANGES:
+            leaving |= self.caches.keys() - members.keys()
+        if leaving:
+            for request in list(self.requests.open.values()):
+                for attempt in request.attempts:
+                    if attempt.cache in leaving or attempt.source in leaving:
+                        self._take_back(attempt)
+
+    def _take_back(self, attempt: OpenAttempt) -> None:
+        """From now on its first byte does not go out; where one has, that is of no effect."""
+        if not attempt.ended and (cache := self.caches.get(attempt.cache)) is not None:
+            attempt.recalled = True
+            cache.mailbox.push(Recall(attempt))
+
+    def follow_addresses(self, section: AddressesSection) -> None:
+        """The operators tell other addresses or limits: they hold from the next dial on."""
+        if self.shared.dialer is not None:
+            self.shared.dialer.configure(section)
+            self._follow_list(anew=True)
+
+    def _follow_list(self, anew: bool = False) -> None:
         """An actor for every machine on the list; those of machines off it end when nothing is open."""
         listed = {number: record for number, record in self.directory.listed()}
         for number, record in listed.items():
@@ -216,7 +247,7 @@
                 self.caches[number] = CacheActor(self.shared, number, record.host, record.address)
                 self.caches[number].start()
             self.caches[number].leaving = False
-            self.caches[number].move(record.address)
+            self.caches[number].move(record.address, record.dials, anew)
         for number, cache in self.caches.items():
             if number not in listed:
                 cache.mailbox.offer(Leave())
@@ -248,7 +279,7 @@
             case io.Follow():
                 self.later.append(self.directory.whole())
             case io.Log(text):
-                logger.info("module: {}", self._named(text))
+                logger.bind(event="module", detail=(named := self._named(text))).info("module: {}", named)
 
     def _named(self, text: str) -> str:
         """A log line of the module with host ids in place of its numbers."""
@@ -263,7 +294,8 @@
         if not self.checks.must(request is not None, "nothing is sent for a request that is over"):
             return
         assert request is not None
-        attempt = self.requests.attempt(request, action.cache, now)
+        source = action.source if isinstance(action, io.Fetch) else -1
+        attempt = self.requests.attempt(request, action.cache, now, source)
         left = max(request.allow - (now - request.came), 0)
         timeout = min(action.timeout, left) if action.timeout else left
         cache = self.caches.get(action.cache)
@@ -302,6 +334,8 @@
             if cache.leaving and not cache.out and not cache.connections and not len(cache.mailbox):
                 cache.cancel()
                 del self.caches[number]
+                if self.shared.dialer is not None:
+                    self.shared.dialer.forget(number)
         self.directory.forget(self.caches.keys())
 
     def fail_open(self) -> None:
--- a/quincepier/operator/reading.py
+++ b/quincepier/operator/reading.py
@@ -1,4 +1,4 @@
-"""Reading the operators' file: YAML by libyaml, types by msgspec, every fault with its line and dotted key."""
+"""Reading the operators' file: YAML by libyaml, types by msgspec, each fault with line and dotted key."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 import msgspec
 import yaml
 
+from quincepier.config import SettingsError
 from quincepier.operator.schema import SECTIONS, section
 
 FILE_MOST = 4 * 1024 * 1024  # bytes
@@ -20,7 +21,7 @@
 Made = Mapping[Any, Callable[[Any], Any]]  # a section's own types, and what makes each of a plain value
 
 
-class OperatorError(Exception):
+class OperatorError(SettingsError):
     """A file that can't be used: all that is wrong with it, a line each, `FILE:LINE: key: why`."""
 
     def __init__(self, faults: list[str]) -> None:
@@ -39,13 +40,14 @@
         found = self.sections.get(kind)
         return found if isinstance(found, kind) else None
 
-    def has(self, name: str) -> bool:
-        """Whether there is a section of that name; imports nothing for one that is not there."""
-        return any(f"{kind.__module__}:{kind.__name__}" == SECTIONS[name] for kind in self.sections)
+    def named(self, name: str) -> msgspec.Struct | None:
+        """The section of that name; imports nothing for one that is not there."""
+        kinds = {f"{kind.__module__}:{kind.__name__}": kind for kind in self.sections}
+        return self.sections[kinds[SECTIONS[name]]] if SECTIONS[name] in kinds else None
 
     @property
     def names(self) -> list[str]:
-        return [name for name in SECTIONS if self.has(name)]
+        return [name for name in SECTIONS if self.named(name) is not None]
 
 
 class _Unusable(Exception):
@@ -86,7 +88,9 @@
         raise _Unusable
 
     def mapping(self, node: yaml.Node, key: str) -> dict[str, yaml.Node] | None:
-        """The parts of a mapping; None where it is none. A key twice is a fault."""
+        """The parts of a mapping, nothing at all being an empty one; None where it is none."""
+        if isinstance(node, yaml.ScalarNode) and node.tag == "tag:yaml.org,2002:null":
+            return {}
         if not isinstance(node, yaml.MappingNode):
             self.fault(node.start_mark.line + 1, key, "a mapping is wanted")
             return None
@@ -125,19 +129,19 @@
             result = origin(items)
         else:
             return self.leaf(node, wanted, key, made)
-        if limits is not None and len(self.faults) == before and limits.max_length is not None:
-            if len(result) > limits.max_length:
-                self.fault(line, key, f"{len(result)} parts, over {limits.max_length}")
+        most = limits.max_length if limits is not None and len(self.faults) == before else None
+        if most is not None and len(result) > most:
+            self.fault(line, key, f"{len(result)} parts, over {most}")
         return result
 
     def leaf(self, node: yaml.Node, wanted: Any, key: str, made: Made) -> Any:
         line = node.start_mark.line + 1
         try:
-            value = self.loader.construct_object(node, deep=True)
+            value = self.loader.construct_object(node, deep=True)  # type: ignore[no-untyped-call]
             return made[wanted](value) if wanted in made else msgspec.convert(value, wanted)
         except msgspec.ValidationError as error:
             self.fault(line, key, str(error))
-        except (yaml.YAMLError, ValueError, TypeError, OverflowError) as error:  # of the loader, or of what makes it
+        except (yaml.YAMLError, ValueError, TypeError, OverflowError) as error:
             self.fault(line, key, str(error).splitlines()[0] if str(error) else repr(error))
         return None
 
@@ -153,7 +157,8 @@
                 known = ", ".join(fields)
                 self.fault(part.start_mark.line + 1, _dotted(key, name), f"no such key; there are {known}")
             else:
-                found[fields[name].name] = self.value(part, hints[fields[name].name], _dotted(key, name), made)
+                field = fields[name]
+                found[field.name] = self.value(part, hints[field.name], _dotted(key, name), made)
         for name, field in fields.items():
             if field.required and name not in parts:
                 self.fault(node.start_mark.line + 1, _dotted(key, name), "is missing")
@@ -191,7 +196,8 @@
         parts = reader.mapping(root, "") if root is not None else {}
         for key, node in (parts or {}).items():
             if key not in SECTIONS:
-                reader.fault(node.start_mark.line + 1, key, f"no such section; there are {', '.join(SECTIONS)}")
+                known = ", ".join(SECTIONS)
+                reader.fault(node.start_mark.line + 1, key, f"no such section; there are {known}")
                 continue
             kind = section(key)
             found = reader.struct(node, kind, key, getattr(kind, "MADE", {}))
--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -1,7 +1,7 @@
 """The sections that an operators' file may have: by name, where the struct of each is.
 
-A section is a frozen msgspec struct. One with types of its own tells in `MADE` how each is made of a plain value; what
-makes them raises ValueError. A new subsystem adds a line here.
+A section is a frozen msgspec struct. One with types of its own tells in `MADE` how each is made of a plain
+value; what makes them raises ValueError. A new subsystem adds a line here.
 """
 
 from __future__ import annotations
--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -383,7 +383,8 @@
     def again(self, req: Request, attempt: Attempt, e: io.AttemptEnded) -> None:
         """After an attempt that served nothing: another one, while it can help and what ran allows it."""
         node, source = attempt.node, attempt.source
-        req.avoid += [source or node] if e.note in SOURCE_FAULTS else [node] * (e.ending is not Ending.MOOT)
+        blamed = e.ending is not Ending.MOOT and not e.another_way  # else the machine itself is not at fault
+        req.avoid += [source or node] if e.note in SOURCE_FAULTS else [node] * blamed
         if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
             req.avoid += [source]  # not told whose fault it was: change both
         useless = attempt.look and e.ending is Ending.MISS or req.deadline - self.now < self.work[req.e.cls]
@@ -396,7 +397,7 @@
     def learn(self, attempt: Attempt, e: io.AttemptEnded) -> None:
         node, source = attempt.node, attempt.source
         from_cache = e.ending is Ending.OK and e.note in (Note.HIT, Note.STALE)
-        if e.ending in (Ending.CONNECT_FAILED, Ending.RESET):
+        if e.ending in (Ending.CONNECT_FAILED, Ending.RESET) and not e.another_way:
             self.distrust(node, "lost", 1 if e.ending is Ending.RESET else LOST_LEAST)
         elif e.ending in (Ending.OK, Ending.ERROR, Ending.FULL, Ending.MISS):
             self.trust(node)
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 from quincepier import clock
 from quincepier import interface as io
@@ -125,13 +126,32 @@
     return io.Purged(record.group, record.object or 0, clock.ago(record.time_ms))
 
 
-def attempt_ended(
-    attempt: OpenAttempt, ending: Ending, at: int, note: Note, waited: int, report: tuple[float, ...]
-) -> io.AttemptEnded:
+class End(Protocol):
+    """How an attempt ended, as the cache's actor tells it: at which nanosecond, and what came with it."""
+
+    ending: Ending
+    at: int
+    note: Note
+    waited: int
+    report: tuple[float, ...]
+    another_way: bool
+
+
+def attempt_ended(attempt: OpenAttempt, end: End) -> io.AttemptEnded:
     """`last` says that the request is over, by this ending or earlier."""
-    r, last = attempt.request, attempt.request.over or ending is Ending.OK
-    elapsed = max(at - attempt.at, 0)
-    return io.AttemptEnded(r.number, attempt.no, attempt.cache, ending, elapsed, last, note, waited, report)
+    r, last = attempt.request, attempt.request.over or end.ending is Ending.OK
+    return io.AttemptEnded(
+        request=r.number,
+        attempt=attempt.no,
+        cache=attempt.cache,
+        ending=end.ending,
+        elapsed=max(end.at - attempt.at, 0),
+        last=last,
+        note=end.note,
+        waited=end.waited,
+        report=end.report,
+        another_way=end.another_way,
+    )
 
 
 def read_number(text: str | None) -> float:
--- a/quincepier/wire/changelog.py
+++ b/quincepier/wire/changelog.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,19 +12,23 @@
 from quincepier.wire.errors import ProtocolError
 
 STATES = {"SERVING": CacheState.READY, "DRAINING": CacheState.DRAINING, "DELETED": CacheState.GONE}
+DIALS_MOST = 16  # addresses listed beside a host's first
+Judge = Callable[[str], object]
 ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})")
 
 
 @dataclass(slots=True, frozen=True)
 class HostRecord:
     host: str
-    address: tuple[str, int]
+    address: tuple[str, int] | None  # None where several are taken and `dial` is of another form
     site: str
     kind: str
     cell: int
     state: CacheState
     size: float
     born_ms: int
+    dials: tuple[str, ...] = ()  # all addresses that can be used, where several a machine are taken
+    faults: tuple[str, ...] = ()  # why others can't
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,28 +73,54 @@
     return value
 
 
-def _host(record: Any) -> HostRecord:
+def _dials(record: Any, judge: Judge) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """The addresses of `dial` and the list `dials` beside it, and what is wrong with the others.
+
+    One that can't be used costs the machine no other: a drain told with it would be lost as well.
+    """
+    listed, faults = [_take(record, "dial", str)], list[str]()
+    more = record.get("dials", [])
+    if isinstance(more, list) and len(more) <= DIALS_MOST:
+        listed += more
+    else:
+        faults.append(f"dials is no list of at most {DIALS_MOST}")
+    good = []
+    for text in listed:
+        try:
+            judge(text)
+            good.append(text)
+        except ValueError as error:
+            faults.append(str(error))
+    if not good:
+        raise ProtocolError(f"no address that can be used: {faults[0]}")
+    return tuple(good), tuple(faults)
+
+
+def _host(record: Any, judge: Judge | None) -> HostRecord:
     state = _take(record, "health", str)
     if state not in STATES:
         raise ProtocolError(f"the unknown state {state[:30]!r}")
+    dials, faults = _dials(record, judge) if judge is not None else ((), ())
     return HostRecord(
         host=_take(record, "host", str),
-        address=read_address(_take(record, "dial", str)),
+        address=read_address(_take(record, "dial", str)) if judge is None else None,
         site=_take(record, "site", str),
         kind=_take(record, "class", str),
         cell=_take(record, "block", int),
         state=STATES[state],
         size=float(_take(record, "share", int, float)),
         born_ms=_take(record, "born_ms", int),
+        dials=dials,
+        faults=faults,
     )
 
 
-def _event(record: Any) -> ChangeEvent:
+def _event(record: Any, judge: Judge | None) -> ChangeEvent:
     seq = _take(record, "seq", int)
     try:
         if "fleet" in record:
             fleet = _take(record, "fleet", dict)
-            hosts = tuple(_host(host) for host in _take(fleet, "hosts", list))
+            hosts = tuple(_host(host, judge) for host in _take(fleet, "hosts", list))
             return FleetChange(seq, _take(fleet, "whole", bool), hosts)
         purge = _take(record, "invalidate", dict)
         at = _take(purge, "time", int)
@@ -103,12 +134,16 @@
         return BadRecord(seq, str(error))
 
 
-def read_changes(value: Any) -> tuple[int, tuple[ChangeEvent, ...]]:
-    """An answer of the change log, or `known` of the configuration: (last number, events)."""
+def read_changes(value: Any, judge: Judge | None = None) -> tuple[int, tuple[ChangeEvent, ...]]:
+    """An answer of the change log, or `known` of the configuration: (last number, events).
+
+    With a judge, which raises ValueError for a text that is no address, a host may have several of any form
+    it takes.
+    """
     if not isinstance(value, dict):
         raise ProtocolError("the changes are not a JSON object")
     last = _take(value, "seq", int)
-    events = tuple(_event(record) for record in _take(value, "results", list))
+    events = tuple(_event(record, judge) for record in _take(value, "results", list))
     if any(a.seq >= b.seq for a, b in zip(events, events[1:], strict=False)):
         raise ProtocolError("the changes' numbers do not rise")
     if events and events[-1].seq > last:
@@ -116,8 +151,8 @@
     return last, events
 
 
-def decode_changes(raw: bytes) -> tuple[int, tuple[ChangeEvent, ...]]:
+def decode_changes(raw: bytes, judge: Judge | None = None) -> tuple[int, tuple[ChangeEvent, ...]]:
     try:
-        return read_changes(json.loads(raw))
+        return read_changes(json.loads(raw), judge)
     except (ValueError, RecursionError) as error:
         raise ProtocolError(f"the changes are not JSON: {error}") from None
--- a/tests/test_translate.py
+++ b/tests/test_translate.py
@@ -13,6 +13,7 @@
 from quincepier.interface import Ending, Note
 from quincepier.memory.members import Directory
 from quincepier.memory.requests import OpenAttempt, Requests
+from quincepier.net.messages import Ended
 from quincepier.policy import Router
 from quincepier.simhost import Host
 from quincepier.simwire import encode_action
@@ -118,9 +119,9 @@
     attempt = OpenAttempt(taken, 0, 5, 1000)
 
     def last(ending: Ending) -> bool:
-        return attempt_ended(attempt, ending, 1500, Note.NONE, 0, ()).last
+        return attempt_ended(attempt, Ended(attempt, ending, 1500)).last
 
-    assert attempt_ended(attempt, Ending.OK, 1500, Note.HIT, 7, ()).elapsed == 500
+    assert attempt_ended(attempt, Ended(attempt, Ending.OK, 1500, Note.HIT, 7)).elapsed == 500
     assert last(Ending.OK) and not last(Ending.TIMEOUT) and not last(Ending.CANCELLED)
     taken.over = True
     assert last(Ending.TIMEOUT)
@@ -200,7 +201,7 @@
                 endings = (Ending.OK, 0), (Ending.FULL, 11), (Ending.RESET, 104)
                 ending, number = endings[0 if n % 5 else n // 5 % 3]
                 now += 20 * clock.MS
-                ended = attempt_ended(attempt, ending, now, Note.FILLED, 5, ())
+                ended = attempt_ended(attempt, Ended(attempt, ending, now, Note.FILLED, 5))
                 taken.over = ending is Ending.OK
                 outcome = (3, taken.number, 0, action.cache, number, 20 * clock.MS, ended.last, 2, 5, 0)
                 same(ended, 1040, struct.pack("<IIHIBQBBQB", *outcome))
