--- a/quincepier/addresses/__init__.py
+++ b/quincepier/addresses/__init__.py
@@ -8,6 +8,7 @@
 
 from quincepier.addresses.address import ADDRESSES_MOST, Address, Family
 from quincepier.addresses.book import Book, Limits
+from quincepier.addresses.fate import after_break
 from quincepier.addresses.grammar import AddressError, parse
 from quincepier.addresses.order import Candidate, ordered
 from quincepier.addresses.preference import Preference, Term, parse_term
@@ -31,6 +32,7 @@
     "Term",
     "Wake",
     "Won",
+    "after_break",
     "ordered",
     "parse",
     "parse_term",
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -132,16 +132,17 @@
         silent = self.heard < attempt.at and clock.now() - attempt.at > self.shared.config.dial_timeout
         self.doubtful = self.doubtful or silent
         if silent:
-            self.against("silent")
+            self.against("silent", owed=True)
 
     def past(self, id: str) -> None:
         self.ghosts[id] = None
         if len(self.ghosts) > GHOSTS_MOST:
             self.ghosts.popitem(last=False)
 
-    def against(self, why: str) -> None:
+    def against(self, why: str, owed: bool = False) -> None:
         """A sign against its address and not the machine: no answer where one was owed, or none ever."""
-        if self.address is not None and self.actor.way is not None and (self.started or not self.proved):
+        sign = owed or self.started or not self.proved
+        if self.address is not None and self.actor.way is not None and sign:
             self.actor.way.broke(self.address, self.up_at, why)
 
     @property
@@ -211,17 +212,17 @@
         if self.body is not None:
             self.body.release()
             self.body = None
-        unwritten = {what: command for what, command in self.outgoing if what is not None}
         way, open = self.actor.way, dict(self.open)
+        unwritten = {what: command for what, command in self.outgoing if what is not None}
         self.open.clear()
         for id, what in open.items():
-            if what in self.started:
-                other = self.address is not None and way is not None and way.another(self.address)
-                self.actor.ended(what, Ending.RESET, clock.now(), other)
-            elif self.address is not None and what in unwritten:
-                self.actor.move_on(id, what, unwritten[what])
+            begun = what in self.started
+            if way is None:
+                unsent = Ending.CONNECT_FAILED if self.absent else Ending.MOOT
+                self.actor.ended(what, Ending.RESET if begun else unsent, clock.now())
             else:
-                self.actor.ended(what, Ending.CONNECT_FAILED if self.absent else Ending.MOOT, clock.now())
+                other = begun and self.address is not None and way.another(self.address)
+                self.actor.broken(id, what, begun, self.absent, unwritten.get(what), other)
         self.started.clear()
         self.outgoing.clear()
 
@@ -360,14 +361,25 @@
         self.timers[what] = loop.call_later(timeout / clock.SECOND, self._give_up, what, Ending.TIMEOUT)
         connection.send(id, what, command)
 
-    def move_on(self, id: str, what: OpenAttempt | Probe, command: bytes) -> None:
-        """Not one byte of it was written: it goes on over another connection as the same attempt."""
-        moves = self.moves[what] = self.moves.get(what, 0) + 1
-        most = len(self.way.book.entries) if self.way is not None else 0
-        connection = self._connection(id) if moves <= most and not self.leaving else None
-        if connection is None:
-            self.ended(what, Ending.MOOT, clock.now())
+    def broken(
+        self,
+        id: str,
+        what: OpenAttempt | Probe,
+        begun: bool,
+        absent: bool,
+        command: bytes | None,
+        other: bool,
+    ) -> None:
+        """Its connection ended, one of several addresses: on over another, or told as it is."""
+        assert self.way is not None
+        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.recalled)
+        most = len(self.way.book.entries) if command is not None else 0
+        ending = self.way.fate(begun, absent, recalled, self.moves.get(what, 0), most)
+        connection = self._connection(id) if ending is None else None
+        if ending is not None or connection is None or command is None:
+            self.ended(what, ending or Ending.MOOT, clock.now(), other)
             return
+        self.moves[what] = self.moves.get(what, 0) + 1
         self.checks.count("attempts gone on over another connection")
         self.out[what] = id, connection
         connection.send(id, what, command)
--- a/quincepier/net/dialer.py
+++ b/quincepier/net/dialer.py
@@ -26,10 +26,12 @@
     Races,
     Wake,
     Won,
+    after_break,
     parse,
 )
 from quincepier.addresses.race import Action
 from quincepier.addresses.section import AddressesSection
+from quincepier.interface import Ending
 from quincepier.net.means import Means
 from quincepier.net.sockets import Unreached, no_delay
 
@@ -217,6 +219,10 @@
         if self.book.failed(address, up_at, clock.now()):
             self.dialer.checks.event("address set aside", f"{self.host} {address}: {why}")
 
+    def fate(self, begun: bool, absent: bool, recalled: bool, moves: int, most: int) -> Ending | None:
+        """See `addresses.after_break`."""
+        return after_break(begun, absent, recalled, moves, most)
+
     def resting(self, address: Address) -> bool:
         """Whether it rests while another does not."""
         now = clock.now()
--- a/quincepier/operator/reading.py
+++ b/quincepier/operator/reading.py
@@ -68,8 +68,8 @@
             for event in yaml.parse(text, Loader=yaml.CSafeLoader):
                 line = event.start_mark.line + 1
                 count += 1
-                if isinstance(event, yaml.AliasEvent) or getattr(event, "anchor", None):
-                    self.fault(line, "", "anchors and aliases are not taken")
+                if any(getattr(event, word, None) for word in ("anchor", "tag")):
+                    self.fault(line, "", "anchors, aliases and tags are not taken")
                     raise _Unusable
                 if isinstance(event, yaml.CollectionStartEvent):
                     depth += 1
--- /dev/null
+++ b/tests/test_addresses.py
@@ -0,0 +1,541 @@
+"""The pure half of several addresses: grammar, preference, order, book, and every ordering of small races."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quincepier.addresses import (
+    Account,
+    Address,
+    AddressError,
+    Book,
+    Candidate,
+    Cause,
+    Dial,
+    Hang,
+    Limits,
+    Lost,
+    Preference,
+    Races,
+    Wake,
+    Won,
+    after_break,
+    ordered,
+    parse,
+    parse_term,
+)
+from quincepier.addresses.order import precedence
+from quincepier.interface import Ending
+
+MS = 1_000_000
+V4, V6, UNIX = parse("127.0.0.1:1"), parse("[::1]:1"), parse("unix:/s")
+FAR = parse("10.0.0.1:1")
+
+# Grammar
+
+octets = st.integers(0, 255)
+ports = st.integers(1, 65535)
+names = st.text(st.characters(exclude_categories=["Cc", "Cs"]), min_size=1, max_size=20)
+texts = st.one_of(
+    st.builds("{}.{}.{}.{}:{}".format, octets, octets, octets, octets, ports),
+    st.builds(lambda ip, port: f"[{ip}]:{port}", st.ip_addresses(v=6), ports),
+    st.builds("tcp://{}.1.2.3:{}".format, octets, ports),
+    names.filter(lambda name: not name.startswith("/")).map("unix:/{}".format),
+    names.map("unix:@{}".format),
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(texts)
+def test_what_is_written_is_read_again_as_the_same_address(text: str) -> None:
+    address = parse(text)
+    assert parse(str(address)) == address
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.one_of(st.text(max_size=40), texts.map(lambda text: text[:-1] + "x"), st.binary(), st.none()))
+def test_any_other_text_is_refused_with_a_column(text: object) -> None:
+    try:
+        address = parse(text)
+    except AddressError as error:
+        assert 1 <= error.column <= len(str(text)) + 1 and error.wanted
+    else:
+        assert parse(str(address)) == address
+
+
+@pytest.mark.parametrize(
+    ("text", "column"),
+    [
+        ("", 1), ("localhost:1", 1), ("127.0.0.1", 10), ("127.0.0.256:1", 9), ("127.0.0.01:1", 10),
+        ("127.0.0.1:0", 11), ("127.0.0.1:70000", 11), ("127.0.0.1:1 ", 12), ("[::1]", 6), ("[::g]:1", 4),
+        ("[1:2]:1", 2), ("[fe80::1%eth0]:1", 9), ("unix:s", 6), ("unix:///s", 6), ("unix:/a\0b", 8),
+        ("unix:/" + "p" * 107, 6), ("unix:@" + "n" * 108, 6), ("udp://1.2.3.4:5", 1), ("x" * 300, 257),
+    ],
+)  # fmt: skip
+def test_each_fault_of_an_address_has_its_column(text: str, column: int) -> None:
+    with pytest.raises(AddressError) as caught:
+        parse(text)
+    assert caught.value.column == column
+
+
+def test_forms_that_mean_one_address_are_one() -> None:
+    assert parse("[0:0:0:0:0:0:0:1]:80") == parse("tcp://[::1]:80")
+    assert parse("[::ffff:10.0.0.1]:80") == parse("10.0.0.1:80")  # IPv4 in other clothes is forbidden as IPv4
+    assert parse("unix:/" + "p" * 106).target == "/" + "p" * 106
+    assert parse("unix:@name").target == b"\0name"
+
+
+# Preference and order
+
+
+def test_operators_prefer_and_forbid_families_and_networks() -> None:
+    preference = Preference(
+        [parse_term("10.0.0.0/8"), parse_term("unix")], [parse_term("10.9.0.0/16"), parse_term("ipv6")]
+    )
+    assert [preference.grade(a) for a in (FAR, UNIX, V4)] == [0, 1, 2]
+    admitted = [preference.admits(parse(t)) for t in ("10.8.0.1:1", "10.9.1.1:1", "[::1]:1", "unix:/s")]
+    assert admitted == [True, False, False, True]
+    assert not Preference(forbid=[parse_term("unix")]).admits(UNIX)
+    for text in ("ipv5", "10.0.0.0/33", "unix:/s", ""):
+        with pytest.raises(AddressError):
+            parse_term(text)
+
+
+def candidate(address: Address, grade: int = 0, aside: int = 0, worked: int = 0) -> Candidate:
+    return Candidate(address, precedence(address), grade, aside, worked)
+
+
+def test_order_is_grade_then_what_worked_then_families_in_turn_and_last_what_rests() -> None:
+    six = [parse(f"[2001:db8::{n}]:1") for n in range(1, 4)]
+    four = [parse(f"192.0.2.{n}:1") for n in range(1, 3)]
+    plain = ordered([candidate(a) for a in (*four, *six, UNIX)])
+    assert [c.address for c in plain] == [UNIX, six[0], four[0], six[1], four[1], six[2]]
+    local = parse("[fd00::1]:1")  # RFC 6724: unique local addresses come after IPv4
+    assert [c.address for c in ordered([candidate(local), candidate(four[0])])] == [four[0], local]
+    mixed = [
+        candidate(six[0], grade=1),
+        candidate(four[0], grade=0, aside=9),
+        candidate(four[1], grade=1, worked=3),
+        candidate(UNIX, grade=0, aside=5),
+        candidate(six[1], grade=0),
+    ]
+    assert [c.address for c in ordered(mixed)] == [six[1], four[1], six[0], UNIX, four[0]]
+
+
+# The book
+
+
+def make_book(*addresses: Address, **limits: int) -> Book:
+    book = Book(Limits(**limits), Preference(), 7)
+    book.replace(addresses)
+    return book
+
+
+def test_a_failed_address_rests_longer_each_time_and_comes_back_by_itself() -> None:
+    book, now, waits = make_book(V4, V6), 1000 * MS, []
+    for _ in range(8):
+        assert book.failed(V4, now, now)
+        assert book.resting(V4, now) and book.another(V4, now) and book.order(now)[0].address == V6
+        waits.append(book.entries[V4].due - now)
+        now = book.entries[V4].due
+        assert not book.resting(V4, now)
+    assert all(0.7 * 200 * MS * 2**n <= wait <= 1.3 * 200 * MS * 2**n for n, wait in enumerate(waits[:5]))
+    assert max(waits) <= 1.25 * 10_000 * MS
+    book.heard(V4)
+    book.failed(V4, now + 1, now + 1)
+    assert book.entries[V4].due - now < 300 * MS  # an answer makes it good again
+
+
+def test_many_dials_under_way_that_fail_together_are_one_failure() -> None:
+    book = make_book(V4, V6)
+    assert [book.failed(V4, 5 * MS, 10 * MS + n) for n in range(50)] == [True] + [False] * 49
+    assert book.entries[V4].failures == 1
+
+
+def test_an_address_that_only_accepts_is_not_proved_and_rests_on() -> None:
+    book, now = make_book(V4, V6), 1000 * MS
+    book.failed(V4, now, now)
+    now = book.entries[V4].due
+    assert book.tried(V4, 1, now) and book.resting(V4, now)  # on trial: nobody else takes it
+    book.over(V4, 1)
+    book.up(V4, MS, now)
+    assert book.resting(V4, now)
+    book.failed(V4, now + 1, now + 1)
+    assert book.entries[V4].failures == 2
+    book.heard(V4)
+    assert not book.resting(V4, now)
+
+
+def test_the_stagger_is_learnt_and_bounded_at_both_ends() -> None:
+    book = make_book(V4)
+    assert book.stagger == 30 * MS
+    for _ in range(50):
+        book.up(V4, MS // 10, 0)
+    assert book.stagger == 10 * MS
+    for _ in range(50):
+        book.up(V4, 20 * MS, 0)
+    assert 20 * MS <= book.stagger <= 60 * MS
+    for _ in range(50):
+        book.up(V4, 400 * MS, 0)
+    assert book.stagger == 60 * MS
+
+
+def test_a_new_list_keeps_what_is_known_of_the_addresses_that_stay() -> None:
+    book = make_book(V4, V6)
+    book.failed(V4, 1, 1)
+    assert book.replace([V4, UNIX, UNIX]) == {V6}
+    assert book.resting(V4, 2) and list(book.entries) == [V4, UNIX]
+    assert book.failed(V6, 1, 1) is False  # it left the list: nothing is kept of it
+    assert book.replace([]) == {V4, UNIX} and book.order(5) == []
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 2), st.integers(0, 3000)), max_size=60))
+def test_no_address_is_lost_and_none_rests_for_ever(steps: list[tuple[int, int, int]]) -> None:
+    addresses = (V4, V6, UNIX)
+    book, now = make_book(*addresses), 1000 * MS
+    for what, which, wait in steps:
+        address, now = addresses[which], now + wait * MS
+        match what:
+            case 0 | 1:
+                book.failed(address, now - what * MS, now)
+            case 2:
+                book.heard(address)
+            case 3:
+                book.up(address, wait * MS, now)
+            case 4:
+                book.tried(address, 9, now)
+            case 5:
+                book.over(address, 9)
+        order = book.order(now)
+        assert sorted(str(c.address) for c in order) == sorted(map(str, addresses))
+        rests = [bool(c.aside) for c in order]
+        assert rests == sorted(rests)  # what may be tried comes first
+        assert all(entry.due <= now + 12_500 * MS for entry in book.entries.values())
+        assert 10 * MS <= book.stagger <= 60 * MS
+
+
+# Races
+
+
+@dataclass
+class World:
+    """Races, what they were told and what they did; checks each action as it comes."""
+
+    races: Races
+    now: int = 1000 * MS
+    live: set[int] = field(default_factory=set)
+    over: dict[int, str] = field(default_factory=dict)
+    dials: dict[int, tuple[int, Address]] = field(default_factory=dict)  # in flight: their race and address
+    failed: dict[int, set[Address]] = field(default_factory=dict)  # by race: its own, or others' trials
+    dialled: dict[int, list[Address]] = field(default_factory=dict)
+    wake: int = 0
+
+    def __deepcopy__(self, memo: dict[int, object]) -> World:
+        book = self.races.book
+        for same in (book.limits, book.preference, book.random, V4, V6, UNIX, *Cause):
+            memo[id(same)] = same
+        races = copy.deepcopy(self.races, memo)
+        other = World(races, self.now, set(self.live), dict(self.over), dict(self.dials))
+        other.failed = {race: set(addresses) for race, addresses in self.failed.items()}
+        other.dialled = {race: list(addresses) for race, addresses in self.dialled.items()}
+        other.wake = self.wake
+        return other
+
+    def start(self) -> int:
+        number, actions = self.races.start(self.now)
+        self.live.add(number)
+        self.failed[number], self.dialled[number] = set(), []
+        self.take(actions)
+        return number
+
+    def end(self, dial: int, cause: Cause | None) -> None:
+        race, address = self.dials.pop(dial)
+        if cause is None:
+            self.take(self.races.up(dial, self.now))
+            return
+        trial = self.races.book.entries[address].trial == dial
+        for other in self.live if trial else {race}:
+            self.failed[other].add(address)
+        self.take(self.races.failed(dial, cause, self.now))
+
+    def drop(self, race: int) -> None:
+        self.live.discard(race)
+        self.over[race] = "dropped"
+        self.take(self.races.drop(race, self.now))
+
+    def tick(self) -> None:
+        self.now, self.wake = max(self.now, self.wake), 0
+        self.take(self.races.tick(self.now))
+
+    def take(self, actions: Sequence[object]) -> None:
+        book = self.races.book
+        for action in actions:
+            match action:
+                case Dial(race, dial, address):
+                    assert race in self.live and address in book.entries
+                    assert address not in self.dialled[race], "an address is dialled once a race"
+                    self.dialled[race].append(address)
+                    self.dials[dial] = race, address
+                case Hang(dial):
+                    self.dials.pop(dial, None)
+                case Won(race, dial, address):
+                    assert race in self.live
+                    self.live.remove(race)
+                    self.over[race] = "won"
+                case Lost(race):
+                    assert race in self.live
+                    assert set(book.entries) <= self.failed[race], "every address has failed for it"
+                    self.live.remove(race)
+                    self.over[race] = "lost"
+                case Wake(at):
+                    self.wake = at
+        assert len(self.dials) <= book.limits.dials_each
+        assert {race for race, _ in self.dials.values()} <= self.live, "nothing is dialled for nobody"
+        assert self.races.account.used == len(self.dials)
+        assert set(self.races.races) == self.live
+        for entry in book.entries.values():
+            assert not entry.trial or entry.trial in self.dials
+        for race in self.live - {race for race, _ in self.dials.values()}:
+            full = len(self.dials) >= max(book.limits.dials_each // 2, 1)
+            assert full or any(e.trial for e in book.entries.values()), f"race {race} waits for nothing"
+
+    def key(self) -> object:
+        """What decides all that can follow, numbers and times made relative."""
+        book, races = self.races.book, self.races.races.values()
+        order, now = {race.number: n for n, race in enumerate(races)}, self.now
+        entries = [
+            (str(e.address), e.failures, max(e.due - now, 0) if e.due else -1, bool(e.trial), e.since - now)
+            for e in book.entries.values()
+        ]
+        flying = sorted((order[r], str(a), self.races.dials[d].at - now) for d, (r, a) in self.dials.items())
+        running = [
+            (sorted(map(str, r.failed)), max(r.next_at - now, 0), r.stuck, r.blameless) for r in races
+        ]
+        return repr((entries, flying, running, max(self.wake - now, 0), len(self.over), self.races.numbers))
+
+
+class Even(random.Random):
+    """No chance: what follows is decided by the order alone."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return (a + b) / 2
+
+
+def outcomes(world: World, more: int, gone: bool) -> Iterator[World]:
+    """Every world that one more event leads to."""
+    for dial in list(world.dials):
+        for cause in (None, Cause.REFUSED, Cause.RESET, Cause.OURS):
+            after = copy.deepcopy(world)
+            after.end(dial, cause)
+            yield after
+    for race in list(world.live):  # the client left, or the attempt was recalled by a drain or a purge
+        after = copy.deepcopy(world)
+        after.drop(race)
+        yield after
+    if world.wake:
+        after = copy.deepcopy(world)
+        after.tick()
+        yield after
+    if world.races.numbers < more:
+        after = copy.deepcopy(world)
+        after.start()
+        yield after
+    if gone and len(world.races.book.entries) > 1 and world.live:  # the list loses an address in the middle
+        after = copy.deepcopy(world)
+        first = next(iter(after.races.book.entries))
+        after.races.book.replace([a for a in after.races.book.entries if a != first])
+        after.take(after.races.moved(after.now))
+        yield after
+
+
+@pytest.mark.parametrize(
+    ("addresses", "races", "each", "gone"),
+    [(1, 2, 8, False), (2, 2, 8, True), (3, 1, 8, True), (3, 2, 2, False), (2, 3, 1, False)],
+)
+def test_every_ordering_of_small_races(addresses: int, races: int, each: int, gone: bool) -> None:
+    """Depth first over all orders of dials ending, time, new races, clients leaving and a changed list."""
+    book = make_book(*(V4, V6, UNIX)[:addresses], dials_each=each)
+    book.random = Even()
+    first = World(Races(book, Account(64)))
+    first.start()
+    seen, left, ends = {first.key()}, [first], 0
+    while left:
+        world = left.pop()
+        if not world.live and world.races.numbers == races:
+            assert not world.dials and len(world.over) == races
+            ends += 1
+            continue
+        for after in outcomes(world, races, gone):
+            if (key := after.key()) not in seen:
+                seen.add(key)
+                left.append(after)
+    assert ends and len(seen) > 20
+
+
+def settle(world: World, up: set[Address], most: int = 2000) -> None:
+    """Let every dial end as its address does, those that neither refuse nor accept never."""
+    for _ in range(most):
+        if not world.live:
+            return
+        ready = [d for d, (_, a) in world.dials.items() if a in up]
+        refused = [d for d, (_, a) in world.dials.items() if a == V4]
+        if refused:
+            world.end(refused[0], Cause.REFUSED)
+        elif ready:
+            world.now += MS // 10
+            world.end(ready[0], None)
+        else:
+            world.tick()
+    raise AssertionError("it does not end")
+
+
+def test_hundreds_of_connections_share_at_once_that_an_address_refuses() -> None:
+    world = World(Races(make_book(V4, V6), Account(64)))
+    world.races.book.entries[V4].worked = world.races.book.answers = 1  # until now all went there
+    for _ in range(300):
+        world.start()
+    settle(world, {V6})
+    refused = sum(a == V4 for dialled in world.dialled.values() for a in dialled)
+    assert set(world.over.values()) == {"won"} and refused <= 4, refused
+
+
+def test_hundreds_of_connections_share_at_once_that_an_address_is_silent() -> None:
+    world = World(Races(make_book(UNIX, V6), Account(64)))  # the first takes no dial and refuses none
+    for _ in range(300):
+        world.start()
+    settle(world, {V6})
+    silent = sum(a == UNIX for dialled in world.dialled.values() for a in dialled)
+    assert set(world.over.values()) == {"won"} and silent <= 4, silent
+    assert world.races.book.resting(UNIX, world.now)
+
+
+def test_a_machine_that_is_gone_costs_hundreds_of_connections_a_handful_of_dials() -> None:
+    world = World(Races(make_book(V4), Account(64)))
+    for _ in range(300):
+        world.start()
+    settle(world, set())
+    assert set(world.over.values()) == {"lost"} and world.races.dialled <= 12
+
+
+def test_who_comes_up_second_is_hung_up_and_blamed_only_after_a_whole_stagger() -> None:
+    world = World(Races(make_book(V4, V6), Account(64)))
+    world.start()
+    world.tick()
+    slow, quick = sorted(world.dials)
+    world.end(quick, None)
+    assert world.over == {1: "won"} and not world.dials
+    assert world.races.up(slow, world.now) == [Hang(slow)]  # both came up in one turn
+    assert world.races.book.resting(V6, world.now)
+    late = World(Races(make_book(V4, V6), Account(64)))
+    late.start()
+    late.now = late.wake + 2000 * MS  # the front stood still: nobody is slower for that
+    late.tick()
+    late.end(max(late.dials), None)
+    assert not late.races.book.resting(V6, late.now)
+
+
+def test_no_descriptor_more_no_dial_beside_another() -> None:
+    account = Account(64, lambda: False)
+    world = World(Races(make_book(V4, V6), account))
+    world.start()
+    world.tick()
+    assert len(world.dials) == 1 and world.races.extras == 0 and account.next() is world.races
+    world.end(next(iter(world.dials)), Cause.NOT_UP)
+    assert len(world.dials) == 1  # the next one, in its place
+    world.end(next(iter(world.dials)), None)
+    assert world.over == {1: "won"} and account.used == 0
+
+
+def test_the_front_keeps_to_its_dials_and_leaves_some_to_those_that_fall_back() -> None:
+    account = Account(4)
+    worlds = [World(Races(make_book(V4, V6), account)) for _ in range(6)]
+    for world in worlds:
+        world.races.start(world.now)
+    assert account.used == 3 and len(account.waiting) == 3  # one of four is kept for a second dial
+    first = worlds[0].races
+    assert [type(a) for a in first.tick(worlds[0].now + 40 * MS)] == [Dial, Wake] and account.used == 4
+    assert account.next() is None
+    first.drop(1, worlds[0].now)
+    assert account.used == 2 and account.next() is worlds[3].races
+
+
+def test_a_race_is_lost_as_absent_only_where_nobody_is_there() -> None:
+    for causes, absent in (
+        ((Cause.REFUSED, Cause.MISSING), True),
+        ((Cause.NOT_UP, Cause.UNREACHABLE), True),
+        ((Cause.REFUSED, Cause.RESET), False),
+        ((Cause.OURS, Cause.REFUSED), False),
+    ):
+        races, now = Races(make_book(V4, V6), Account(8)), 1000 * MS
+        _, actions = races.start(now)
+        for cause in causes:
+            (dial,) = [a.dial for a in actions if isinstance(a, Dial)]
+            actions = races.failed(dial, cause, now)
+        assert [a.absent for a in actions if isinstance(a, Lost)] == [absent]
+        entries = sorted(races.book.entries.values(), key=lambda e: -e.precedence)
+        blamed = [entry.failures > 0 for entry in entries]
+        assert blamed == [cause is not Cause.OURS for cause in causes]
+
+
+def test_machine_without_an_allowed_address_is_lost_at_once() -> None:
+    book = Book(Limits(), Preference(forbid=[parse_term("ipv4")]), 1)
+    book.replace([V4])
+    _, actions = Races(book, Account(8)).start(0)
+    assert [type(a) for a in actions] == [Lost]
+
+
+# One attempt: every ordering of what may happen to it, with drain, purge and client-left between two steps
+
+
+def test_every_ordering_of_one_attempt_sends_it_whole_at_most_once() -> None:
+    """Its connection comes up or not; its bytes go out not at all, in part or whole; it breaks or not.
+
+    A state is (where it is, moves, told to go back, whole commands the machine read, begun after being told).
+    """
+    most, ends = 3, set()
+    left = [("racing", 0, False, 0, False)]
+    seen = set(left)
+    while left:
+        where, moves, recalled, read, late = left.pop()
+        assert read <= 1 and not late, "one command whole at most, and none begun after a drain or purge"
+        after: list[tuple[str, int, bool, int, bool]] = []
+        if where.startswith("ended"):
+            ends.add((where, read))
+            continue
+        if not recalled:  # a drain, a gone or a purge is told: unsent it goes back, sent it stays
+            after.append((where, moves, True, read, late))
+        after.append(("ended left", moves, recalled, read, late))  # the client leaves
+        match where:
+            case "racing":
+                after.append(("up", moves, recalled, read, late))
+                for absent in (True, False):
+                    fate = after_break(False, absent, recalled, moves, 0)
+                    after.append((f"ended {fate}", moves, recalled, read, late))
+            case "up" if recalled:  # looked at right before the first byte
+                after.append((f"ended {Ending.MOOT}", moves, recalled, read, late))
+            case "up":
+                after += [("part out", moves, recalled, read, late), ("out", moves, recalled, read + 1, late)]
+                after.append(("unsent", moves, recalled, read, late))
+            case "unsent" | "part out" | "out":
+                if where == "out":
+                    after.append(("ended answered", moves, recalled, read, late))
+                fate = after_break(where != "unsent", False, recalled, moves, most)
+                after.append(("racing", moves + 1, recalled, read, late) if fate is None else
+                             (f"ended {fate}", moves, recalled, read, late))  # fmt: skip
+        for state in after:
+            if state not in seen:
+                seen.add(state)
+                left.append(state)
+    whole = {where for where, read in ends if read}
+    assert whole == {"ended left", "ended answered", f"ended {Ending.RESET}"}, "what ran is told so"
+    assert {where for where, read in ends if not read} >= {
+        f"ended {Ending.RESET}", f"ended {Ending.MOOT}", f"ended {Ending.CONNECT_FAILED}"
+    }  # fmt: skip
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,211 @@
+"""The operators' file: all faults at once with line and key, hostile files, JSON lines, SIGHUP, off."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quincepier.addresses import Family
+from quincepier.addresses.section import AddressesSection
+from quincepier.operator import LogSection, OperatorError, load, read
+from tests.frontkit import raw_config
+from tests.scripted import Machine
+from tests.standins import Asked, Cache, Front, until
+
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "operator.yaml"
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(OperatorError) as caught:
+        read(text, "op.yaml")
+    return caught.value.faults
+
+
+def test_the_example_is_good_and_its_defaults_are_those_of_the_section() -> None:
+    file = load(str(EXAMPLE))
+    section, log = file.get(AddressesSection), file.get(LogSection)
+    assert file.names == ["log", "addresses"] and section is not None and log is not None
+    assert [a.family for a in section.machines["s-1"]] == [Family.IP6, Family.UNIX]
+    assert section.limits == AddressesSection().limits and log.format == "json"
+
+
+def test_all_faults_are_told_at_once_each_with_line_and_key() -> None:
+    text = """\
+log: {format: xml, format: text}
+addresses:
+  machines:
+    s-1: ["127.0.0.1:0", "unix:/ok", 5]
+  prefer: [unix, bogus]
+  stagger_ms: {least: 50, first: 10}
+  aside_ms: {first: no}
+  dials: [1]
+  colour: red
+extra: 1
+"""
+    told = {fault.split(": ")[0] + " " + fault.split(": ")[1] for fault in faults(text)}
+    assert told == {
+        "op.yaml:1 log.format", "op.yaml:4 addresses.machines.s-1.0", "op.yaml:4 addresses.machines.s-1.2",
+        "op.yaml:5 addresses.prefer.1", "op.yaml:6 addresses.stagger_ms",
+        "op.yaml:7 addresses.aside_ms.first",
+        "op.yaml:8 addresses.dials", "op.yaml:9 addresses.colour", "op.yaml:10 extra",
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("addresses: {machines: {a: [x], a: [y]}}", "addresses.machines.a: stands there twice"),
+        ("log: &a {format: text}\naddresses: *a", "op.yaml:1: anchors, aliases and tags are not taken"),
+        ("log:\n  format: [", "not YAML"),
+        ("log: !!python/object:os.system {}", "tags are not taken"),
+        ("[1, 2]", "a mapping is wanted"),
+        ("1: 2", "the key 1 is not a text"),
+        ("log: {format: !!int 0b}", "tags are not taken"),
+        ("log: {format: 2026-13-45}", "log.format"),
+        ("[" * 40 + "]" * 40, "nested over 16 deep"),
+        ("addresses: {machines: {s-1: [" + ", ".join(["unix:/a"] * 17) + "]}}", "17 parts, over 16"),
+        ("addresses: {dials: {machine: 9, front: 8}}", "machine <= front is wanted"),
+        ("log: {format: text}\n---\nlog: {}", "not YAML"),
+        ("\x00", "not YAML"),
+    ],
+)
+def test_files_that_can_not_be_used_say_why(text: str, told: str) -> None:
+    found = "\n".join(faults(text))
+    assert told in found, found
+
+
+def test_an_empty_file_and_empty_sections_are_good() -> None:
+    assert read("", "x").names == [] and read("# nothing\n", "x").names == []
+    file = read("addresses:\nlog:\n", "x")
+    assert file.get(AddressesSection) == AddressesSection() and file.get(LogSection) == LogSection()
+
+
+words = st.sampled_from(["log", "addresses", "format", "json", "machines", "s-1", "[::1]:1", "prefer"])
+values = st.recursive(
+    st.one_of(st.none(), st.booleans(), st.integers(), st.floats(), words, st.text(max_size=8)),
+    lambda inner: st.one_of(st.lists(inner, max_size=4), st.dictionaries(words, inner, max_size=4)),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.one_of(values.map(json.dumps), st.text(max_size=80), values.map(lambda v: json.dumps(v)[:-1])))
+def test_whatever_the_file_holds_it_is_read_or_refused_by_one_error(text: str) -> None:
+    try:
+        file = read(text, "op.yaml")
+    except OperatorError as error:
+        assert error.faults and all(fault.startswith("op.yaml:") for fault in error.faults)
+    else:
+        assert set(file.names) <= {"log", "addresses"}
+
+
+def test_files_that_can_not_be_opened_or_are_too_large(tmp_path: Path) -> None:
+    bad = tmp_path / "latin.yaml"
+    bad.write_bytes(b"log: {}\n# \xe9\n")
+    large = tmp_path / "large.yaml"
+    large.write_bytes(b"#" * (4 * 1024 * 1024 + 1))
+    wanted = {tmp_path / "none": "can't be read", tmp_path: "can't", bad: ":2: not UTF-8", large: "over"}
+    for path, told in wanted.items():
+        with pytest.raises(OperatorError, match=told):
+            load(str(path))
+
+
+def run(*arguments: str, **environment: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, *arguments]
+    return subprocess.run(command, capture_output=True, text=True, env=environment, check=False, timeout=60)
+
+
+def test_check_config_reads_both_files(tmp_path: Path) -> None:
+    config, operator = tmp_path / "config.json", tmp_path / "operator.yaml"
+    config.write_text(json.dumps(raw_config()))
+    operator.write_text("log: {format: yes}\nother: {}\n")
+    check = "-m", "quincepier", "check-config", "--config", str(config)
+    bad = run(*check, "--operator", str(operator))
+    assert bad.returncode == 2 and "log.format" in bad.stderr and "other" in bad.stderr
+    operator.write_text("addresses: {forbid: [ipv6]}\n")
+    good = run(*check, ROUTER_OPERATOR=str(operator))
+    assert good.returncode == 0 and "operators' file is good: addresses" in good.stdout
+
+
+def test_what_is_off_is_not_imported(tmp_path: Path) -> None:
+    """Without a file nothing of the new packages or their libraries; with a log section no addresses."""
+    config, operator = tmp_path / "config.json", tmp_path / "operator.yaml"
+    config.write_text(json.dumps(raw_config()))
+    operator.write_text("log: {format: json}\n")
+    told = (
+        "import sys; from quincepier.__main__ import main; import quincepier.lifecycle.front;"
+        f"main(['check-config', '--config', {str(config)!r}] + {{}});"
+        "print([m for m in ('yaml', 'msgspec', 'netaddr', 'parsy', 'quincepier.operator',"
+        "'quincepier.addresses', 'quincepier.net.dialer') if m in sys.modules])"
+    )
+    off = run("-c", told.format([]))
+    assert off.stdout.splitlines()[-1] == "[]", off.stderr
+    some = run("-c", told.format(["--operator", str(operator)]))
+    assert some.stdout.splitlines()[-1] == "['yaml', 'msgspec', 'quincepier.operator']", some.stderr
+
+
+def test_json_lines_and_sighup_take_the_file_whole_or_not_at_all(tmp_path: Path) -> None:
+    """A front as a process: its only cache moves to an address that the operators tell at SIGHUP."""
+    operator = tmp_path / "operator.yaml"
+
+    def ok(asked: Asked) -> None:
+        asked.data()
+
+    async def scenario(front: Front) -> None:
+        def lines(event: str) -> list[dict[str, Any]]:
+            records = [json.loads(line) for line in front.lines if line.startswith("{")]
+            assert all(set(r) == {"time", "level", "event", "fields"} for r in records)
+            return [r for r in records if r["event"] == event]
+
+        (ready,) = lines("front serves")
+        assert ready["fields"]["front"] == "n0" and ready["level"] == "INFO"
+        client = await front.client()
+        client.ask(1, "bid", b"offer")
+        assert (await client.ended(1)).status == 200
+        moved = Machine(tmp_path, ("unix",))
+        await moved.start()
+        (address,) = moved.addresses()
+        origin = front.caches["o-1"]
+        assert origin.server is not None
+        origin.server.close()
+        for asked in origin.asked:
+            asked.reset()
+        good = f"addresses: {{machines: {{o-1: ['{address}']}}, prefer: [unix]}}"
+        operator.write_text(good.replace("unix]", "moon]"))
+        front.signal(signal.SIGHUP)
+        await until(lambda: bool(lines("new configuration not taken")), "the bad file is told")
+        assert "addresses.prefer.0" in lines("new configuration not taken")[0]["fields"]["detail"]
+        client.ask(2, "bid", b"offer")
+        await client.ended(2)
+        assert not moved.at  # nothing of it is in force
+        operator.write_text(good)
+        front.signal(signal.SIGHUP)
+        await until(lambda: front.logged("read again: log, addresses changed"), "the good one is taken")
+        client.ask(3, "bid", b"offer")
+        assert (await client.ended(3)).status == 200 and len(moved.at) == 1
+        front.signal(signal.SIGTERM)
+        assert await front.code() == 0
+        await moved.close()
+
+    operator.write_text("log: {format: json}\naddresses: {}\n")
+    caches = {"s-1": ok, "p-1": ok, "o-1": ok}
+
+    async def over() -> None:
+        front = Front(tmp_path, {name: Cache(behaviour) for name, behaviour in caches.items()})
+        front.operator = operator
+        try:
+            await front.start()
+            await scenario(front)
+        finally:
+            await front.stop()
+
+    asyncio.run(over())
