Clients' connections rest without a task, a buffer or a timer; who may stay is decided in one place

Need: a resting connection cost 28.4 KiB (a task, a pooled buffer, a mailbox of three deques, a decoder) and was walked over five times a second. Now its turn is run by the loop: a reader, one shared buffer for all reads, a Talk made as bytes come and let go when nothing is owed; what the socket does not take at once is the only task. Deadlines lie in a timing wheel on a clock that does not count our own standstill; the module's timers lie in one too. clients/ decides who stays (by age as ever; by network where the operators' file says) and serves ready connections in slices of 64 a turn of the loop.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -47,7 +47,8 @@
         self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, self._make_room, budget)
         if operators is not None:
             operators.equip(self.module)
-        self.shop = Shop(self.module.means, lambda: self.module.standing)
+        places = operators.places if operators is not None else None
+        self.shop = Shop(self.module.means, lambda: self.module.standing, places)
         self.changes = ChangesActor(self.module.means)
         self.term = asyncio.Event()
         self.lag_most = 0
@@ -78,8 +79,10 @@
         signals.on_reload(None)
         upkeep.cancel()
         actors: list[Actor[Any]] = [listener, self.changes]
-        for actor in (*actors, *self.module.caches.values(), *self.shop.connections):
+        for actor in (*actors, *self.module.caches.values()):
             actor.cancel()
+        for connection in list(self.shop.connections):
+            connection.close()
         self.module.cancel()
         await asyncio.sleep(0)
         sock.close()
@@ -98,7 +101,7 @@
             return
         means.config = config
         if self.operators is not None and file is not None:
-            changed, left = self.operators.take(file, self.module)
+            changed, left = self.operators.take(file, self.module, self.shop)
             now, later = now + changed, later + left
         self.checks.count("configurations read again")
         told, held = ", ".join(now) or "nothing", ", ".join(later)
@@ -131,7 +134,7 @@
 
     def _quiet(self) -> bool:
         """Nothing asked whole is unanswered; what is half-sent holds no drain up."""
-        return not self.module.requests.unanswered and not any(c.owed for c in self.shop.connections)
+        return not self.module.requests.unanswered and self.shop.quiet()
 
     async def _upkeep(self) -> None:
         """Sweep overdue and idle connections, watch the loop's lag, tell counters that moved."""
@@ -145,7 +148,7 @@
                 if ticks % SWEEP_EVERY == 0:
                     now = clock.now()
                     late = now - swept > 1.5 * SWEEP_EVERY * TICK * clock.SECOND  # by the front's own fault
-                    self.shop.sweep(now, 0 if late else now - swept)
+                    self.shop.sweep(now)
                     self.module.sweep(now, late)
                     swept = now
             except Exception as error:
--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -13,6 +13,8 @@
 
 if TYPE_CHECKING:
     from quincepier.addresses.section import AddressesSection
+    from quincepier.clients.section import Places
+    from quincepier.net.client import Shop
     from quincepier.net.module import ModuleActor
 
 
@@ -59,11 +61,21 @@
             module.means.judge = self.judge
             module.shared.dialer = Dialer(module.means, section, module.shared.descriptor)
 
+    @property
+    def places(self) -> Places | None:
+        """Whose clients' connections are whose, and how many each may have."""
+        if self.file.named("clients") is None:
+            return None
+        from quincepier.clients.section import ClientsSection, Places
+
+        section = self.file.get(ClientsSection)
+        return None if section is None else Places(section)
+
     def again(self) -> OperatorFile:
         """The file read anew, checked and not yet in force; raises OperatorError."""
         return load(self.path)
 
-    def take(self, file: OperatorFile, module: ModuleActor) -> tuple[list[str], list[str]]:
+    def take(self, file: OperatorFile, module: ModuleActor, shop: Shop) -> tuple[list[str], list[str]]:
         """Put a file in force that was read anew: the sections that changed, and those left for a start."""
         names = dict.fromkeys((*self.file.names, *file.names))
         differ = [name for name in names if file.named(name) != self.file.named(name)]
@@ -75,4 +87,6 @@
         section = self._addresses(file)
         if "addresses" in differ and "addresses" not in later and section is not None:
             module.follow_addresses(section)
+        if "clients" in differ:
+            shop.follow(self.places)
         return [n for n in differ if n not in later], later
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -1,50 +1,114 @@
-"""The actor of one client connection: FastCGI in, answers out; and the listener that accepts them."""
+"""A client connection: FastCGI in, answers out; the shop that all use; and the listener that accepts them.
+
+A connection is an actor without a task. Its turn is run by the loop: when bytes can be read, when an answer
+has come to its mailbox, when a timer is due. At rest it is its socket, a reader of the loop and a few words;
+everything else is in its Talk, made when bytes come and let go when nothing is left half read or owed.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterator
+from collections import deque
+from collections.abc import Callable, Hashable, Iterator
 from functools import lru_cache
+from typing import TYPE_CHECKING
 
 from quincepier import clock
+from quincepier.clients import Caps, Roll, Turns, Verdict
 from quincepier.memory.pool import Body
 from quincepier.memory.requests import OpenRequest
 from quincepier.net.actor import Actor
 from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, Left
-from quincepier.net.sockets import NO_BUFFER_PAUSE, no_delay
+from quincepier.net.sockets import no_delay
+from quincepier.timers import Patience, Timer, Wheel
 from quincepier.translate import PING, BadRequest, class_table, open_request
 from quincepier.wire import fastcgi
 from quincepier.wire.errors import ProtocolError
 
-MAILBOX_MOST = 64
-BATCH = 65_536  # bytes written at a time
+if TYPE_CHECKING:  # imported only where the operators' file tells of clients
+    from quincepier.clients.section import Places
+
+BATCH, BATCHES = 65_536, 4  # bytes written at a time, and so often in one turn
 # Seconds: to a new connection's first whole request; that one message may take; to a close behind an answer.
 FIRST_WITHIN, WHOLE_WITHIN, CLOSE_WITHIN = 2.0, 2.0, 1.0
+AGAIN_WITHIN = 0.2  # seconds to another look at what is overdue and still owed something
+GRAIN = 20 * clock.MS  # of the timers of connections
+LATE = clock.SECOND // 4  # between looks at them; more than that is the front's own standstill
 ACCEPTS = 8  # new clients in a row
-NEW_FOR = 0.5  # seconds in which a connection that has not asked is the last to be closed for a new one
+SWEPT = 2000  # timers looked at in one sweep; what is left is due at the next
+READS = 64  # connections read in one turn of the loop; the others wait in line
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
+WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
 
 class Shop:
     """What all client connections use."""
 
-    def __init__(self, means: Means, standing: Callable[[], bool]) -> None:
+    def __init__(self, means: Means, standing: Callable[[], bool], places: Places | None = None) -> None:
         self.checks, self.pool, self.descriptors = means.checks, means.pool, means.descriptors
         self.module, self.standing = means.module, standing
         self.means, self.classes = means, class_table(means.config)
         self.connections: set[ClientConnection] = set()
-        # Those that have not asked yet, as they came, and those owed nothing, by how long they have rested.
-        self.new: OrderedDict[ClientConnection, None] = OrderedDict()
-        self.resting: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.talking: set[ClientConnection] = set()  # those that are not at rest
+        self.places = places
+        most = self.descriptors.clients_most
+        caps = Caps(most) if places is None else places.caps(most)
+        self.roll: Roll[ClientConnection] = Roll(caps)
         self.bodies, self.bodies_most = 0, means.budget.bodies
+        buffers = means.pool.take()
+        assert buffers is not None, "the first buffer of the pool is there"
+        self.scratch = memoryview(buffers[0])  # all connections are read into it, each for a moment
+        now = clock.now()
+        self.patience = Patience(now, LATE)
+        self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
+        self.turns: Turns[ClientConnection] = Turns(READS)
+        self.turning = False
+        self.random = random.Random(means.config.seed)
+
+    def follow(self, places: Places | None) -> None:
+        """The operators tell other limits: they hold for who comes from now on, and for who rests."""
+        self.places = places
+        most = self.descriptors.clients_most
+        self.roll.caps = Caps(most) if places is None else places.caps(most)
+
+    def network(self, host: str) -> tuple[Hashable, int]:
+        """Whose connection it is, and how many it may have (0: as all); one network for all by default."""
+        return ("", 0) if self.places is None else self.places.network(host)
+
+    def admit(self, sock: socket.socket, host: str = "") -> ClientConnection | None:
+        """A connection for a new client's socket; closed where there is no room, or who goes for it is."""
+        connection = ClientConnection(self, sock)
+        verdict, gone = self.roll.came(connection, *self._network(host))
+        if verdict is not Verdict.STAYS:
+            full = verdict is Verdict.FULL
+            why = "descriptors used up" if full else "its network is at its cap"
+            self.checks.event(f"new client closed: {why}", "" if full else host)
+            sock.close()
+            return None
+        for other in gone:
+            self.checks.event("idle client closed: descriptors used up")
+            other.close()
+        self.descriptors.client(1)
+        self.connections.add(connection)
+        connection.start()
+        return connection
+
+    def _network(self, host: str) -> tuple[Hashable, int, int]:
+        name, cap = self.network(host)
+        return name, self.patience.read(clock.now()), cap
+
+    def wait_ms(self) -> int | None:
+        """What a client is told whom the front itself refuses: spread, so that not all come back together."""
+        most = self.means.config.wait_ms
+        return None if most is None else max(int(self.random.uniform(WAIT_LEAST, 1) * most), 1)
 
     def make_room(self) -> None:
         """The pool is used up. Of the client that has taken nothing for longest, answers not begun become
         failures; where there are none, what has begun is cut by closing its connection."""
-        held = sorted((c for c in self.connections if c.sending), key=lambda c: c.moved)
+        held = sorted((c for c in self.talking if c.talk and c.talk.sending), key=lambda c: c.moved)
         for connection in held:
             if connection.fail_unbegun():
                 self.checks.event("answers failed: buffers used up")
@@ -53,38 +117,50 @@
             self.checks.event("slow client closed: buffers used up")
             held[0].close()
 
-    def hold(self, connection: ClientConnection) -> None:
+    def hold(self, connection: ClientConnection, held: int) -> None:
         """Account for what a connection has sent of requests not whole yet; the one that holds most goes."""
-        self.bodies += connection.decoder.held - connection.held
-        connection.held = connection.decoder.held
-        if self.bodies > self.bodies_most and connection.held:
+        self.bodies += held - connection.held
+        connection.held = held
+        if self.bodies > self.bodies_most and held:
             self.checks.event("client closed: too much half-sent")
-            max(self.connections, key=lambda c: c.held).close()
-
-    def sweep(self, now: int, since: int) -> None:
-        """End the connections that take longer than a client may to ask, to finish asking, or to go."""
-        for connection in list(self.connections):
-            if (why := connection.overdue(now, since)) is not None:
-                self.checks.event(f"client closed: {why}")
+            max(self.talking, key=lambda c: c.held).close()
+
+    def sweep(self, now: int) -> None:
+        """Look at the timers that are due. Time in which nobody looked is the front's and does not count."""
+        time = self.patience.read(now)
+        for _ in range(SWEPT):
+            timer = self.wheel.take(time)
+            if timer is None:
+                break
+            connection, resume = timer.what
+            try:
+                connection.due(time, resume)
+            except Exception as error:
+                self.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
                 connection.close()
 
-    def busy(self, connection: ClientConnection) -> None:
-        """It has asked something."""
-        self.new.pop(connection, None)
-        self.resting.pop(connection, None)
-
-    def rests(self, connection: ClientConnection) -> None:
-        """It is owed nothing, from now on."""
-        if connection.asked and not connection.closed:
-            self.resting[connection] = None
+    # Turns of the loop
+
+    def may_read(self, connection: ClientConnection) -> bool:
+        """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
+        if not self.turning:
+            self.turning = True
+            asyncio.get_running_loop().call_soon(self._turn)
+        return self.turns.may(connection)
+
+    def _turn(self) -> None:
+        for connection in self.turns.turn():
+            connection.resume()
+            connection.receive()
+        if self.turns.line:
+            self.checks.count("reads that waited for a turn", len(self.turns.line))
+            asyncio.get_running_loop().call_soon(self._turn)
+        else:
+            self.turning = False
 
-    def dispensable(self) -> ClientConnection | None:
-        """Whom to close for a new client: who came and never asked, else who has rested for longest."""
-        newest = clock.now() - int(NEW_FOR * clock.SECOND)  # its first request may be on the way
-        first = next(iter(self.new), None)
-        if first is None or first.since > newest:
-            first = next(iter(self.resting), first)
-        return first
+    def quiet(self) -> bool:
+        """Nothing that was asked here whole is unanswered or on its way out."""
+        return not any(connection.owed for connection in self.talking)
 
 
 class Outgoing:
@@ -126,248 +202,416 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-class ClientConnection(Actor[Answer]):
-    name = "client"
+class Talk:
+    """What a connection needs while it is not at rest."""
 
-    def __init__(self, shop: Shop, sock: socket.socket) -> None:
-        super().__init__(shop.checks, MAILBOX_MOST)
-        self.shop, self.sock = shop, sock
-        self.decoder = fastcgi.Decoder(shop.descriptors.clients_most)
+    __slots__ = ("control", "decoder", "inbox", "keep", "open", "sending", "unfinished", "unfinished_at")
+
+    def __init__(self, connections_most: int) -> None:
+        self.decoder = fastcgi.Decoder(connections_most)
         self.open: dict[int, OpenRequest] = {}
         self.keep: dict[int, bool] = {}
         self.sending: deque[Outgoing] = deque()
         self.control: deque[tuple[int, bytes]] = deque()  # whole and short: 0 or the request, and its bytes
-        self.closed = self.closing = self.ending = self.leaving = self.asked = False
-        self.begun = self.writing = False
+        self.inbox: deque[Answer] = deque()
+        self.unfinished: object = None  # what is half-sent, and since when by the shop's patience
+        self.unfinished_at = 0
+
+    @property
+    def done(self) -> bool:
+        """Nothing is owed, on its way or half read."""
+        decoder = self.decoder
+        busy = self.open or self.sending or self.control or self.inbox or decoder.answering
+        return not (busy or decoder.begun or decoder.buffer or decoder.skip or decoder.strays)
+
+
+class ClientConnection:
+    __slots__ = (
+        "asked", "closed", "closing", "closing_at", "deaf", "ending", "faults", "held", "moved", "reading",
+        "shop", "since", "sock", "stirred", "talk", "timer", "writer",
+    )  # fmt: skip
+
+    def __init__(self, shop: Shop, sock: socket.socket) -> None:
+        self.shop, self.sock = shop, sock
+        self.talk: Talk | None = None
+        self.closed = self.closing = self.ending = self.asked = self.reading = self.stirred = False
         self.deaf = False  # it sent what ends its connection: nothing more is read, what is owed goes out
-        self.writer: asyncio.Task[None] | None = None
-        self.moved = self.since = clock.now()  # when bytes last went out or came in; when it came
+        self.writer: asyncio.Task[None] | None = None  # what the socket did not take at once
+        self.moved = clock.now()  # when bytes last went out or came in
+        self.since = shop.patience.time
         self.held = self.faults = self.closing_at = 0
-        self.unfinished: object = None  # what was half-sent at the last look, and for how long
-        self.unfinished_for = 0
+        self.timer: Timer[tuple[ClientConnection, bool]] | None = None
+
+    def start(self) -> None:
+        self.resume()
+        self._look_in(FIRST_WITHIN)
+
+    @property
+    def owed(self) -> bool:
+        """Whether something that was asked here whole is still to be answered, or on its way out."""
+        return self.talk is not None and bool(
+            self.talk.open or self.talk.sending or self.talk.control or self.talk.inbox or self.writer
+        )
 
     def push(self, answer: Answer) -> None:
-        if self.closed:
+        """Into its mailbox."""
+        if self.closed or self.talk is None:
             if answer.body is not None:
                 answer.body.release()
         else:
-            self.mailbox.push(answer)
+            self.talk.inbox.append(answer)
             self._stir()
 
-    @property
-    def owed(self) -> bool:
-        """Whether something that was asked here whole is still to be answered."""
-        return bool(self.open) or self.writing
-
-    def overdue(self, now: int, since: int) -> str | None:
-        """Why it is to be closed. Time in which the front itself was late does not count against it."""
-        unfinished = self.decoder.unfinished
-        same = unfinished is not None and unfinished == self.unfinished
-        self.unfinished, self.unfinished_for = unfinished, self.unfinished_for + since if same else 0
-        if self.closing or self.deaf:
-            self.closing_at = self.closing_at or now
-            late = now - self.closing_at > CLOSE_WITHIN * clock.SECOND and not self.open
-            return "its last answer is not taken" if late else None
-        if not self.asked and now - self.since > FIRST_WITHIN * clock.SECOND:
-            return "no whole request in time"
-        if self.unfinished_for > WHOLE_WITHIN * clock.SECOND and not self.owed:
-            return "half a request for too long"
-        return None
+    # Time
 
-    async def run(self) -> None:
-        self.begun = True
-        try:
-            if not self.leaving:
-                await self._read()
-        except ProtocolError as error:
-            self.checks.event("client breaks FastCGI", str(error))
-        except OSError:
-            self.checks.count("client connections broken off")
-        finally:
-            if (writer := self.writer) is not None:
-                writer.cancel()
-                await asyncio.wait((writer,))
-            self._drop()
+    def _look_in(self, seconds: float, resume: bool = False) -> None:
+        """Look at it then, if no earlier look is to come."""
+        due = self.shop.patience.time + int(seconds * clock.SECOND)
+        if self.timer is not None:
+            if self.timer.due <= due and not resume:
+                return
+            self.shop.wheel.cancel(self.timer)
+        self.timer = self.shop.wheel.set(due, (self, resume))
+
+    def due(self, now: int, resume: bool) -> None:
+        self.timer = None
+        if self.closed:
+            return
+        if resume and not self.deaf:
+            self.resume()
+        why, again = self._overdue(now)
+        if why is not None:
+            self.shop.checks.event(f"client closed: {why}")
+            self.close()
+        elif again:
+            self._look_in(again)
+
+    def _overdue(self, now: int) -> tuple[str | None, float]:
+        """Why it is to be closed, else in how many seconds to look again; 0: not before something happens."""
+        talk = self.talk
+        if self.closing or self.deaf:
+            left = self.closing_at + int(CLOSE_WITHIN * clock.SECOND) - now
+            if left <= 0 and not (talk is not None and talk.open):
+                return "its last answer is not taken", 0.0
+            return None, max(left / clock.SECOND, AGAIN_WITHIN)
+        again = 0.0
+        if not self.asked:
+            left = self.since + int(FIRST_WITHIN * clock.SECOND) - now
+            if left <= 0:
+                return "no whole request in time", 0.0
+            again = left / clock.SECOND
+        if talk is not None and self._half(talk, now):
+            left = talk.unfinished_at + int(WHOLE_WITHIN * clock.SECOND) - now
+            if left <= 0 and not self.owed:
+                return "half a request for too long", 0.0
+            wait = max(left / clock.SECOND, AGAIN_WITHIN)
+            again = min(again, wait) if again else wait
+        until = self.shop.roll.rests_until(self)
+        if until is not None:
+            if until <= now:
+                return "at rest for too long", 0.0
+            again = (until - now) / clock.SECOND
+        return None, again
+
+    def _half(self, talk: Talk, now: int) -> bool:
+        """Whether something is half-sent; since when is noted as it begins."""
+        unfinished = talk.decoder.unfinished
+        if unfinished is None:
+            talk.unfinished = None
+        elif unfinished != talk.unfinished:
+            talk.unfinished, talk.unfinished_at = unfinished, now
+        return unfinished is not None
+
+    # Coming and going
+
+    def resume(self) -> None:
+        """Read when there is something to read."""
+        if not (self.reading or self.closed or self.deaf):
+            self.reading = True
+            asyncio.get_running_loop().add_reader(self.sock, self._readable)
+
+    def _pause(self) -> None:
+        if self.reading:
+            self.reading = False
+            asyncio.get_running_loop().remove_reader(self.sock)
+
+    def cancel(self) -> None:
+        self.close()
 
     def close(self) -> None:
         """End the connection now, whatever is open on it."""
-        self.leaving = True
-        if self.begun:  # else it ends as its task begins: one ended before that would leave its socket behind
-            self.cancel()
-
-    def _drop(self) -> None:
+        if self.closed:
+            return
         self.closed = True
-        self.shop.bodies -= self.held
+        self._pause()
+        shop, talk = self.shop, self.talk
+        shop.turns.leave(self)
+        if self.timer is not None:
+            shop.wheel.cancel(self.timer)
+            self.timer = None
+        shop.bodies -= self.held
         self.held = 0
+        shop.roll.left(self)
+        shop.talking.discard(self)
+        if talk is not None:
+            self.talk = None
+            for answer in talk.inbox:
+                if answer.body is not None:
+                    answer.body.release()
+            for outgoing in talk.sending:
+                outgoing.release()
+            for request in talk.open.values():
+                self._forget(request)
+                shop.module.push(Left(request))
+        if self.writer is not None:
+            self.writer.cancel()  # the socket closes behind it
+        else:
+            self._shut()
+
+    def _shut(self) -> None:
         self.sock.close()
-        self.shop.busy(self)
         self.shop.connections.discard(self)
         self.shop.descriptors.client(-1)
-        while (answer := self.mailbox.take()) is not None:
-            if answer.body is not None:
-                answer.body.release()
-        for outgoing in self.sending:
-            outgoing.release()
-        self.sending.clear()
-        for request in self.open.values():
-            self._forget(request)
-            self.shop.module.push(Left(request))
-        self.open.clear()
 
     def _forget(self, request: OpenRequest) -> None:
         self.shop.bodies -= len(request.body)
 
     def fail_unbegun(self) -> int:
         """How many answers with a body, of which nothing was written, became failures."""
-        found = [o for o in self.sending if o.body is not None and not o.begun]
+        sending = self.talk.sending if self.talk is not None else ()
+        found = [o for o in sending if o.body is not None and not o.begun]
         for outgoing in found:
             outgoing.fail()
         return len(found)
 
+    def _settle(self) -> None:
+        """After each turn: at rest where nothing is left, closed where it was to close."""
+        talk = self.talk
+        if self.closed or talk is None:
+            return
+        if (self.closing or self.deaf) and not self.closing_at:
+            self.closing_at = self.shop.patience.time
+            self._look_in(CLOSE_WITHIN)
+        if self.owed or self.stirred:
+            return
+        if self.closing:
+            self.close()
+            return
+        if self.asked:
+            self.shop.roll.rests(self, self.shop.patience.time)
+        if talk.done and not self.deaf:
+            self.talk = None
+            self.shop.talking.discard(self)
+            if self.shop.roll.caps.rest_most:
+                self._look_in(self.shop.roll.caps.rest_most / clock.SECOND)
+
     # In
 
-    async def _read(self) -> None:
-        loop = asyncio.get_running_loop()
-        while (buffers := self.shop.pool.take()) is None:  # never a reason to end who has done no wrong
-            await asyncio.sleep(NO_BUFFER_PAUSE)
-        view = memoryview(buffers[0])
-        try:
-            while size := await loop.sock_recv_into(self.sock, view):
-                at, faults = clock.now(), self.faults
-                self.moved = at
-                for item in self.decoder.feed(view[:size]):
-                    match item:
-                        case fastcgi.Call():
-                            self._call(item, at)
-                        case fastcgi.Aborted(stream):
-                            self._abort(stream)
-                        case fastcgi.Reply(data, closes):
-                            self.control.append((0, data))
-                            self.closing = self.closing or closes
-                            self.deaf = self.deaf or closes
-                            self._stir()
-                if self.held or self.decoder.begun or self.decoder.buffer:
-                    self.shop.hold(self)
-                if self.deaf:
-                    await loop.create_future()
-                if self.faults != faults:  # who goes on sending what can't be used gets little CPU
-                    await asyncio.sleep(min(FAULT_PAUSE * 2 ** min(self.faults, 10), FAULT_PAUSE_MOST))
-        finally:
-            self.shop.pool.give(buffers)
+    def _readable(self) -> None:
+        if self.shop.may_read(self):
+            self.receive()
+        else:
+            self._pause()
 
-    def _call(self, call: fastcgi.Call, at: int) -> None:
-        self.keep[call.id] = call.keep
+    def receive(self) -> None:
+        """Read once and take what came; what goes wrong ends this connection alone."""
+        if self.closed or self.deaf:
+            return
+        try:
+            size = self.sock.recv_into(self.shop.scratch)
+            if size:
+                self._received(size)
+            else:
+                self.close()
+        except (BlockingIOError, InterruptedError):
+            return
+        except ProtocolError as error:
+            self.shop.checks.event("client breaks FastCGI", str(error))
+            self.close()
+        except OSError:
+            self.shop.checks.count("client connections broken off")
+            self.close()
+        except Exception as error:
+            self.shop.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
+            self.close()
+
+    def _received(self, size: int) -> None:
+        at, faults, shop = clock.now(), self.faults, self.shop
+        self.moved = at
+        talk = self.talk
+        if talk is None:
+            talk = self.talk = Talk(shop.descriptors.clients_most)
+            shop.talking.add(self)
+        for item in talk.decoder.feed(shop.scratch[:size]):
+            match item:
+                case fastcgi.Call():
+                    self._call(talk, item, at)
+                case fastcgi.Aborted(stream):
+                    self._abort(talk, stream)
+                case fastcgi.Reply(data, closes):
+                    talk.control.append((0, data))
+                    self.closing = self.closing or closes
+                    self.deaf = self.deaf or closes
+                    self._stir()
+        held = talk.decoder.held
+        if held or self.held:
+            shop.hold(self, held)
+            if self.closed:
+                return
+        if self._half(talk, shop.patience.read(at)):
+            self._look_in(WHOLE_WITHIN)
+        if self.deaf:
+            self._pause()
+        elif self.faults != faults:  # who goes on sending what can't be used gets little CPU
+            self._pause()
+            self._look_in(min(FAULT_PAUSE * 2 ** min(self.faults, 10), FAULT_PAUSE_MOST), resume=True)
+        self._settle()
+
+    def _call(self, talk: Talk, call: fastcgi.Call, at: int) -> None:
+        shop = self.shop
+        talk.keep[call.id] = call.keep
         self.asked = True
-        self.shop.busy(self)
+        shop.roll.asked(self)
         if call.params.get("SCRIPT_NAME") == PING and not call.fault:
-            self._say(call.id, cgi_head(200 if self.shop.standing() else 503))
+            self._say(talk, call.id, cgi_head(200 if shop.standing() else 503))
             return
         try:
-            request = open_request(call, self.shop.classes, self, at)
+            request = open_request(call, shop.classes, self, at)
         except BadRequest as error:
             self.faults += 1
             self.deaf = self.deaf or bool(call.fault)
-            self.checks.event("bad request", str(error))
-            self._say(call.id, cgi_head(error.status))
+            shop.checks.event("bad request", str(error))
+            self._say(talk, call.id, cgi_head(error.status))
             return
-        if self.shop.bodies + len(call.body) > self.shop.bodies_most:
-            self.checks.event("request refused: too much open")
-            self._say(call.id, cgi_head(503, wait_ms=self.shop.means.config.wait_ms))
+        if shop.bodies + len(call.body) > shop.bodies_most:
+            shop.checks.event("request refused: too much open")
+            self._say(talk, call.id, cgi_head(503, wait_ms=shop.wait_ms()))
             return
-        if not self.shop.module.add(Came(request)):
-            self.checks.event("request refused: too many waiting")
-            self._say(call.id, cgi_head(503, wait_ms=self.shop.means.config.wait_ms))
+        if not shop.module.add(Came(request)):
+            shop.checks.event("request refused: too many waiting")
+            self._say(talk, call.id, cgi_head(503, wait_ms=shop.wait_ms()))
             return
-        self.open[call.id] = request
-        self.shop.bodies += len(request.body)
+        talk.open[call.id] = request
+        shop.bodies += len(request.body)
 
-    def _abort(self, stream: int) -> None:
-        self.keep.pop(stream, None)
-        for outgoing in [o for o in self.sending if o.stream == stream]:
-            self.sending.remove(outgoing)
+    def _abort(self, talk: Talk, stream: int) -> None:
+        talk.keep.pop(stream, None)
+        for outgoing in [o for o in talk.sending if o.stream == stream]:
+            talk.sending.remove(outgoing)
             outgoing.release()
-        if self.control:
-            self.control = deque(item for item in self.control if item[0] != stream)
-        request = self.open.pop(stream, None)
+        if talk.control:
+            talk.control = deque(item for item in talk.control if item[0] != stream)
+        request = talk.open.pop(stream, None)
         if request is not None:
             self._forget(request)
             self.shop.module.push(Left(request))
-        if not self.owed:
-            self.shop.rests(self)
 
     # Out
 
     def _stir(self) -> None:
-        """There is something to send. Who never gets an answer has no task for it."""
-        self.writing = True
-        if self.writer is not None:
-            self.mailbox.wake()
-        elif not self.closed:
-            self.writer = self.spawn(self._write())
+        """There is something to send, in this connection's own turn: what comes together goes together."""
+        if not (self.stirred or self.writer is not None or self.closed):
+            self.stirred = True
+            asyncio.get_running_loop().call_soon(self._flush)
 
-    def _say(self, stream: int, head: bytes, body: Body | None = None) -> None:
-        keep = self.keep.pop(stream, True)
+    def _say(self, talk: Talk, stream: int, head: bytes, body: Body | None = None) -> None:
+        keep = talk.keep.pop(stream, True)
         if body is None or not body.length:
             if body is not None:
                 body.release()
-            self.control.append((stream, fastcgi.short(stream, head)))
-            self.decoder.close(stream)
+            talk.control.append((stream, fastcgi.short(stream, head)))
+            talk.decoder.close(stream)
             self.ending = self.ending or not keep
         else:
-            self.sending.append(Outgoing(stream, keep, head, body))
+            talk.sending.append(Outgoing(stream, keep, head, body))
         self._stir()
 
-    def _take(self, answer: Answer) -> None:
+    def _take(self, talk: Talk, answer: Answer) -> None:
         request = answer.request
-        if self.open.get(request.stream) is not request:  # it was aborted as the answer was made
+        if talk.open.get(request.stream) is not request:  # it was aborted as the answer was made
             if answer.body is not None:
                 answer.body.release()
             return
-        del self.open[request.stream]
+        del talk.open[request.stream]
         self._forget(request)
-        self._say(request.stream, cgi_head(answer.status, answer.still, answer.wait_ms), answer.body)
+        self._say(talk, request.stream, cgi_head(answer.status, answer.still, answer.wait_ms), answer.body)
 
-    async def _write(self) -> None:
-        """Answers take turns, a record each, so that a large one does not delay the small."""
-        loop = asyncio.get_running_loop()
+    def _flush(self) -> None:
+        """Write as much as the socket takes and a turn allows; what goes wrong ends this connection alone."""
+        self.stirred = False
         try:
-            while True:
-                while (answer := self.mailbox.take()) is not None:
-                    self._take(answer)
-                if self.sending or self.control:
-                    await loop.sock_sendall(self.sock, self._batch())
-                    self.moved = clock.now()
-                    continue
-                self.writing = False
-                if not self.open:
-                    self.shop.rests(self)
-                    if self.closing:
-                        break
-                await self.mailbox.wait()
+            self._put_out()
         except OSError:
-            self.checks.count("client connections broken off")
-        self.close()
+            self.shop.checks.count("client connections broken off")
+            self.close()
+        except Exception as error:
+            self.shop.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
+            self.close()
+
+    def _put_out(self) -> None:
+        """The first bytes go by the call that sock_sendall makes first itself; a task takes what is left."""
+        talk = self.talk
+        if self.closed or talk is None or self.writer is not None:
+            return
+        for _ in range(BATCHES):
+            while talk.inbox:
+                self._take(talk, talk.inbox.popleft())
+            if not (talk.sending or talk.control):
+                break
+            batch = self._batch(talk)
+            try:
+                sent = self.sock.send(batch)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            self.moved = clock.now() if sent else self.moved
+            if sent < len(batch):
+                self.writer = asyncio.get_running_loop().create_task(self._rest(batch[sent:]))
+                break
+        else:
+            self._stir()  # others get their turn between
+        self._settle()
 
-    def _batch(self) -> bytes:
-        out = bytearray().join(data for _, data in self.control)
-        self.control.clear()
+    async def _rest(self, data: bytes) -> None:
+        """Wait until the socket has taken it, then go on."""
+        broken = False
+        try:
+            await asyncio.get_running_loop().sock_sendall(self.sock, data)
+            self.moved = clock.now()
+        except OSError:
+            self.shop.checks.count("client connections broken off")
+            broken = True
+        finally:
+            self.writer = None
+            if self.closed:
+                await asyncio.sleep(0)  # the loop lets go of the socket first
+                self._shut()
+        if not self.closed:
+            if broken:
+                self.close()
+            else:
+                self._flush()
+
+    def _batch(self, talk: Talk) -> bytes:
+        """Answers take turns, a record each, so that a large one does not delay the small."""
+        out = bytearray().join(data for _, data in talk.control)
+        talk.control.clear()
         self.closing = self.closing or self.ending
-        while self.sending and len(out) < BATCH:
-            outgoing = self.sending.popleft()
+        while talk.sending and len(out) < BATCH:
+            outgoing = talk.sending.popleft()
             piece = next(outgoing.pieces, None)
             if piece is not None:
                 out += piece
-                self.sending.append(outgoing)
+                talk.sending.append(outgoing)
             else:
                 out += fastcgi.finish(outgoing.stream)
                 outgoing.release()
-                self.decoder.close(outgoing.stream)
+                talk.decoder.close(outgoing.stream)
                 self.closing = self.closing or not outgoing.keep
         return bytes(out)
 
 
 class Listener(Actor[None]):
-    """Accepts clients. Past the account of descriptors one that is owed nothing goes, else the new one."""
+    """Accepts clients, a few in a row; who stays is told by the roll."""
 
     name = "listener"
 
@@ -376,29 +620,16 @@
         self.shop, self.sock = shop, sock
 
     async def run(self) -> None:
-        loop, descriptors, taken = asyncio.get_running_loop(), self.shop.descriptors, 0
+        loop, taken = asyncio.get_running_loop(), 0
         while True:
             try:
-                sock, _ = await loop.sock_accept(self.sock)
+                sock, address = await loop.sock_accept(self.sock)
                 sock.setblocking(False)
                 no_delay(sock)
             except OSError as error:
                 self.checks.event("accept failed", str(error))
                 await asyncio.sleep(0.01)
                 continue
-            if descriptors.clients >= descriptors.clients_most:
-                spared = self.shop.dispensable()
-                if spared is None:
-                    self.checks.event("new client closed: descriptors used up")
-                    sock.close()
-                    continue
-                self.checks.event("idle client closed: descriptors used up")
-                self.shop.busy(spared)  # not chosen twice; it is gone within a turn of the loop
-                spared.close()
-            descriptors.client(1)
-            connection = ClientConnection(self.shop, sock)
-            self.shop.connections.add(connection)
-            self.shop.new[connection] = None
-            connection.start()
+            self.shop.admit(sock, address[0])
             if (taken := taken + 1) % ACCEPTS == 0:  # the others get their turn in a storm of new clients
                 await asyncio.sleep(0)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -38,6 +37,7 @@
 )
 from quincepier.net.sockets import Descriptors
 from quincepier.policy import Router
+from quincepier.timers import Wheel
 from quincepier.translate import attempt_ended, purged, request_came, serve_fields
 from quincepier.wire import lines
 from quincepier.wire.changelog import BadRecord, ChangeEvent, FleetChange, PurgeRecord
@@ -69,8 +69,7 @@
         self.directory = Directory(config.zones, config.kinds)
         self.requests = Requests(budget.requests)
         self.caches: dict[int, CacheActor] = self.shared.actors
-        self.timers: list[tuple[int, int, int, int]] = []  # due, order, token, the request it is about
-        self.timers_set = 0
+        self.timers: Wheel[tuple[int, int]] = Wheel(clock.now(), clock.MS)  # token, the request it is about
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = 0
         self.later: deque[io.Event] = deque()
@@ -117,17 +116,17 @@
     # Time
 
     def _due(self) -> None:
-        while self.timers and self.timers[0][0] <= clock.now():
-            _, _, token, number = heapq.heappop(self.timers)
+        while (timer := self.timers.take(clock.now())) is not None:
+            token, number = timer.what
             if number >= 0 and ((request := self.requests.open.get(number)) is None or request.over):
                 continue
             self._tell(io.TimerDue(token))
 
     def _arm(self) -> None:
         """Wake at the next timer, if nothing else comes before."""
-        if not self.timers:
+        due = self.timers.next()
+        if due is None:
             return
-        due = self.timers[0][0]
         if self.alarm is None or self.alarm_at > due or self.alarm_at <= clock.now():
             if self.alarm is not None:
                 self.alarm.cancel()
@@ -271,8 +270,7 @@
                 if (request := self._owed(number)) is not None:
                     self._answer(Answer(request, 502))
             case io.SetTimer(wait, token, about):
-                self.timers_set += 1
-                heapq.heappush(self.timers, (now + max(wait, 0), self.timers_set, token, about))
+                self.timers.set(now + max(wait, 0), (token, about))
             case io.Probe(machine):
                 if machine in self.caches:
                     self.caches[machine].mailbox.push(Check(self.config.report_on_probe))
--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -14,6 +14,7 @@
 SECTIONS = {
     "log": "quincepier.operator.schema:LogSection",
     "addresses": "quincepier.addresses.section:AddressesSection",
+    "clients": "quincepier.clients.section:ClientsSection",
 }
 
 
--- /dev/null
+++ b/quincepier/timers/__init__.py
@@ -0,0 +1,10 @@
+"""Timers without I/O or clock: a hierarchical wheel, and a clock that does not count our own standstill.
+
+They decide what is due, in which order and how much of it at a time. They never read the time, sleep or call
+what a timer is about. Read `wheel.py` first.
+"""
+
+from quincepier.timers.patience import Patience
+from quincepier.timers.wheel import Timer, Wheel
+
+__all__ = ["Patience", "Timer", "Wheel"]
