Connections to caches wait without a buffer; reset with bytes unread ends them; tests of rest and storms

Seen in a new test at 32 MB and 256 descriptors: a bid failed by time, as idle connections to caches held every buffer of the pool and the one that was to hear its answer found none (cache.py _read). Now a buffer is taken when there is something to read, and the loop's reader stays for the connection's life. Seen then: a connection reset with bytes unread never ended, since libuv stops looking after POLLERR; clients and caches are read until nothing is left. Ruled out: the module (its deadline told the failure), the stand-in.

--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,255 @@
+"""What many resting client connections cost, and whether the active few notice them. By hand; loopback only.
+
+Usage:
+  idle.py [--counts LIST] [--fronts N] [--before DIR] [--seconds N]
+
+Options:
+  --counts LIST  Idle connections in all, a run for each [default: 0,10000,50000,100000].
+  --fronts N     Fronts that share one core; 9,800 idle connections each at most [default: 12].
+  --before DIR   Another checkout, measured as well, as far as it goes.
+  --seconds N    How long the active few ask, at rest [default: 10].
+
+The fronts share core 0; holders of idle connections and the active clients run on the others. Each
+idle connection asked /ping once. The active few are one client a front that asks for a cached
+object 8 times a second in all, at times fixed beforehand: latency counts from the intended time. In
+the storm every idle connection asks /ping within one moment. Connections, requests and seconds are
+bounded; it ends by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import socket
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+HERE = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(HERE))
+
+import uvloop  # noqa: E402
+from docopt import docopt  # noqa: E402
+from hdrh.histogram import HdrHistogram  # noqa: E402
+
+from tests.fcgikit import call  # noqa: E402
+from tests.standins import Asked, Cache, Client, Front  # noqa: E402
+
+EACH_MOST, CORE, RATE, PORTS = 9800, 0, 8.0, 20_000
+PING = call(1, {"SCRIPT_NAME": "/ping"})
+QUANTILES = (50, 90, 99, 100)
+SNDBUF = 4096
+
+
+def ok(asked: Asked) -> None:
+    asked.data(b"x" * 2000)
+
+
+def cpu_of(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_of(pid: int) -> int:
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def kernel_memory() -> int:
+    """Bytes of slab, as far as the system tells: sockets and what polls them are in it."""
+    for line in Path("/proc/meminfo").read_text().splitlines():
+        if line.startswith("Slab:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+async def hold(address: tuple[str, int], count: int, source: str, control: socket.socket) -> None:
+    """One holder: so many connections that asked once. Told to wake it asks on all; then it ends."""
+    loop, peers = asyncio.get_running_loop(), list[socket.socket]()
+    for n in range(count):
+        peer = socket.socket()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SNDBUF)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SNDBUF)
+        peer.bind((source, 0))
+        peer.setblocking(False)
+        await loop.sock_connect(peer, address)
+        await loop.sock_sendall(peer, PING)
+        peers.append(peer)
+        if n % 50 == 49:  # answered before more come: the front is to hold them, not to refuse them
+            await loop.sock_recv(peer, 4096)
+    await asyncio.sleep(0.5)
+    for peer in peers:
+        try:
+            while peer.recv(4096):
+                pass
+        except BlockingIOError:
+            pass
+    control.setblocking(False)
+    await loop.sock_sendall(control, b"r")
+    await loop.sock_recv(control, 1)
+    began, answered, left = time.monotonic(), loop.create_future(), len(peers)
+
+    def one(peer: socket.socket) -> None:
+        nonlocal left
+        loop.remove_reader(peer)
+        peer.recv(4096)
+        left -= 1
+        if not left and not answered.done():
+            answered.set_result(None)
+
+    for peer in peers:
+        loop.add_reader(peer, one, peer)
+        peer.send(PING)
+    if peers:
+        async with asyncio.timeout(60):
+            await answered
+    await loop.sock_sendall(control, f"{time.monotonic() - began:.3f}".encode())
+    await loop.sock_recv(control, 1)
+    for peer in peers:
+        peer.close()
+
+
+def holder(address: tuple[str, int], count: int, source: str) -> tuple[int, socket.socket]:
+    """A process that holds connections; its pid and how it is told."""
+    ours, theirs = socket.socketpair()
+    pid = os.fork()
+    if pid == 0:
+        code = 1
+        try:
+            ours.close()
+            os.sched_setaffinity(0, set(range(os.cpu_count() or 1)) - {CORE} or {CORE})
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                runner.run(hold(address, count, source, theirs))
+            code = 0
+        finally:
+            os._exit(code)
+    theirs.close()
+    ours.setblocking(False)
+    return pid, ours
+
+
+async def heard(sock: socket.socket) -> bytes:
+    async with asyncio.timeout(120):
+        data = await asyncio.get_running_loop().sock_recv(sock, 64)
+    assert data, "a holder ended"
+    return data
+
+
+async def active(clients: list[Client], seconds: float, first: int) -> HdrHistogram:
+    """Open loop: a request each 1/RATE seconds, over the clients in turn."""
+    histogram, loop = HdrHistogram(1, 60_000_000, 3), asyncio.get_running_loop()
+    began = loop.time() + 0.05
+
+    async def ask(n: int) -> None:
+        due = began + n / RATE / len(clients)
+        await asyncio.sleep(max(due - loop.time(), 0))
+        client, id = clients[n % len(clients)], (first + n) % 60_000 + 2
+        done = loop.create_future()
+        client.waiting[id] = done
+        client.ask(id, HTTP_X_N=str(n % 20), HTTP_X_JOB_ID=f"{first + n:016x}")
+        await done
+        histogram.record_value(max(int((loop.time() - due) * 1e6), 1))
+
+    async with asyncio.timeout(seconds + 60):
+        await asyncio.gather(*(ask(n) for n in range(int(seconds * RATE * len(clients)))))
+    return histogram
+
+
+class Watched(Client):
+    """A client that says at once when an answer has ended."""
+
+    def __init__(self, *parts: Any) -> None:
+        super().__init__(*parts)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+
+    async def _read(self) -> None:
+        while data := await self.reader.read(65536):
+            self.records.feed(data)
+            got = self.records.got
+            for id in [id for id in self.waiting if id in got and got[id].ended is not None]:
+                self.waiting.pop(id).set_result(None)
+                del got[id]
+
+
+def told(histogram: HdrHistogram) -> str:
+    return " / ".join(f"{histogram.get_value_at_percentile(q) / 1000:.1f}" for q in QUANTILES)
+
+
+async def run(root: Path, idle: int, fronts: int, seconds: float) -> str:
+    started: list[Front] = []
+    holders: list[tuple[int, socket.socket]] = []
+    os.sched_setaffinity(0, set(range(os.cpu_count() or 1)) - {CORE} or {CORE})
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            for n in range(fronts):
+                place = Path(folder) / str(n)
+                place.mkdir()
+                front = Front(place, {name: Cache(ok) for name in ("s-1", "p-1", "o-1")})
+                front.root, front.optimized = root, True
+                await front.start(limits={"cores": 1.0, "memory_mb": 2000, "sockets": PORTS - 10})
+                assert front.process is not None
+                os.sched_setaffinity(front.process.pid, {CORE})
+                started.append(front)
+            pids = [front.process.pid for front in started if front.process is not None]
+            clients = [await Watched.to(front.address) for front in started]
+            await active(clients, 2, 0)  # what is asked is in the caches, and known to be
+            memory, slab = sum(map(resident_of, pids)), kernel_memory()
+            for n, front in enumerate(started):
+                count = idle // fronts + (n < idle % fronts)
+                if count:
+                    holders.append(holder(front.address, count, f"127.2.{n}.1"))
+            for _, sock in holders:
+                assert await heard(sock) == b"r"
+            await asyncio.sleep(1.0)
+            held, kernel = sum(map(resident_of, pids)) - memory, kernel_memory() - slab
+            cpu = sum(map(cpu_of, pids))
+            await asyncio.sleep(5.0)
+            rest = (sum(map(cpu_of, pids)) - cpu) / 5
+            few = await active(clients, seconds, 10_000)
+            storm = asyncio.create_task(active(clients, 6, 30_000))
+            await asyncio.sleep(1.0)
+            loop = asyncio.get_running_loop()
+            for _, sock in holders:
+                await loop.sock_sendall(sock, b"w")
+            took = [float(await heard(sock)) for _, sock in holders]
+            stormed = await storm
+            for _, sock in holders:
+                await loop.sock_sendall(sock, b"e")
+            for client in clients:
+                await client.close()
+            each = f"{held / idle / 1024:.2f} | {kernel / idle / 1024:.2f}" if idle else "- | -"
+            storm_s = f"{max(took, default=0):.2f}"
+            return f"{idle} | {each} | {rest:.3f} | {told(few)} | {storm_s} | {told(stormed)}"
+        finally:
+            for _, sock in holders:
+                sock.close()
+            for pid, _ in holders:
+                os.waitpid(pid, 0)
+            for front in started:
+                await front.stop()
+
+
+def main() -> None:
+    chosen = docopt(__doc__ or "")
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    fronts, seconds = int(chosen["--fronts"]), float(chosen["--seconds"])
+    columns = "version", "idle", "KiB each, fronts", "KiB each, slab", "cores at rest", "active ms"
+    print(f"| {' | '.join(columns)} | storm s | active in the storm |\n|{' --- |' * 8}")
+    roots = {"now": HERE} | ({"before": Path(chosen["--before"]).resolve()} if chosen["--before"] else {})
+    for idle in map(int, chosen["--counts"].split(",")):
+        if idle > fronts * EACH_MOST:
+            raise SystemExit(f"{idle} idle connections need {-(-idle // EACH_MOST)} fronts")
+        for name, root in roots.items():
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                try:
+                    row = runner.run(run(root, idle, fronts, seconds))
+                except (AssertionError, OSError, TimeoutError) as error:
+                    row = f"{idle} | failed: {type(error).__name__}: {error} | | | | |"
+            print(f"| {name} | {row} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/quincepier/clients/turns.py
+++ b/quincepier/clients/turns.py
@@ -25,9 +25,13 @@
         if self.left > 0 and not self.line:
             self.left -= 1
             return True
+        self.wait(who)
+        return False
+
+    def wait(self, who: K) -> None:
+        """Who has had its part of this turn and is ready still stands in line."""
         self.line[who] = None
         self.longest = max(self.longest, len(self.line))
-        return False
 
     def leave(self, who: K) -> None:
         self.line.pop(who, None)
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -30,6 +30,7 @@
     from quincepier.net.dialer import Dialer, Way
 
 MAILBOX_MOST = 4096
+READS = 8  # in a row
 GHOSTS_MOST = 256  # ids that were out on one connection; none of them goes out there again
 PROBE_WORDS = {"well": Ending.OK, "ill": Ending.ERROR}
 
@@ -106,6 +107,8 @@
         self.body: Body | None = None
         self.head: lines.Head | None = None
         self.task: asyncio.Task[None] | None = None
+        self.ready: asyncio.Future[None] | None = None  # set when there is something to read
+        self.reading = False
 
     def send(self, id: str, what: OpenAttempt | Probe, command: bytes) -> None:
         self.open[id] = what
@@ -256,27 +259,65 @@
                 raise
 
     async def _read(self, sock: socket.socket) -> None:
-        loop, decoder = asyncio.get_running_loop(), lines.Decoder()
-        while (buffer := self.shared.pool.take()) is None:
-            await asyncio.sleep(NO_BUFFER_PAUSE)
-        view = memoryview(buffer[0])
+        """Answers as they come. A buffer is held while bytes are taken in and not while they are waited for:
+
+        idle connections would use the pool up, and no new one could hear its answer. It is read until nothing
+        is left before it is waited for: the loop stops looking at a socket that was reset with bytes unread.
+        """
+        loop, decoder, pool, row = asyncio.get_running_loop(), lines.Decoder(), self.shared.pool, 0
+        await self._readable(loop, sock)
         try:
-            while size := await loop.sock_recv_into(sock, view):
-                at = self.heard = self.used = clock.now()
-                self.between = True  # a wait for buffers is no fault of the machine
-                for item in decoder.feed(view[:size]):
-                    match item:
-                        case lines.Head():
-                            await self._began(item)
-                        case lines.Piece(data) if self.body is not None:
-                            self.body.append(data)
-                        case lines.Whole():
-                            self._whole(at)
-                self.between = decoder.between
-            if not decoder.between:
-                raise ProtocolError("the connection ends inside an answer")
+            while True:
+                while (buffers := pool.take()) is None:
+                    await asyncio.sleep(NO_BUFFER_PAUSE)
+                try:
+                    view = memoryview(buffers[0])
+                    size = sock.recv_into(view)
+                    if not size:
+                        break
+                    await self._take_in(decoder, view[:size])
+                    row += 1
+                except (BlockingIOError, InterruptedError):
+                    row = 0
+                finally:
+                    pool.give(buffers)
+                if not row:
+                    await self._readable(loop, sock)
+                elif row % READS == 0:  # others get their turn
+                    await asyncio.sleep(0)
         finally:
-            self.shared.pool.give(buffer)
+            if self.reading:
+                loop.remove_reader(sock)
+        if not decoder.between:
+            raise ProtocolError("the connection ends inside an answer")
+
+    async def _readable(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        """Until there is something to read. The reader of the loop stays, made once a connection."""
+        self.ready = loop.create_future()
+        if not self.reading:
+            self.reading = True
+            loop.add_reader(sock, self._rung, loop, sock)
+        await self.ready
+
+    def _rung(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        if self.ready is not None and not self.ready.done():
+            self.ready.set_result(None)
+        else:  # nobody waits for it now; it would ring in each turn
+            self.reading = False
+            loop.remove_reader(sock)
+
+    async def _take_in(self, decoder: lines.Decoder, data: memoryview) -> None:
+        at = self.heard = self.used = clock.now()
+        self.between = True  # a wait for buffers is no fault of the machine
+        for item in decoder.feed(data):
+            match item:
+                case lines.Head():
+                    await self._began(item)
+                case lines.Piece(piece) if self.body is not None:
+                    self.body.append(piece)
+                case lines.Whole():
+                    self._whole(at)
+        self.between = decoder.between
 
     async def _began(self, head: lines.Head) -> None:
         what = self.open.get(head.id)
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -39,6 +39,7 @@
 LATE = clock.SECOND // 4  # between looks at them; more than that is the front's own standstill
 ACCEPTS = 8  # new clients in a row
 SWEPT = 2000  # timers looked at in one sweep; what is left is due at the next
+ROW = 4  # reads of one connection in a row
 READS = 64  # connections read in one turn of the loop; the others wait in line
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
@@ -143,10 +144,18 @@
 
     def may_read(self, connection: ClientConnection) -> bool:
         """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
+        self._turn_comes()
+        return self.turns.may(connection)
+
+    def read_on(self, connection: ClientConnection) -> None:
+        """It has more to read than its part of a turn."""
+        self._turn_comes()
+        self.turns.wait(connection)
+
+    def _turn_comes(self) -> None:
         if not self.turning:
             self.turning = True
             asyncio.get_running_loop().call_soon(self._turn)
-        return self.turns.may(connection)
 
     def _turn(self) -> None:
         for connection in self.turns.turn():
@@ -414,15 +423,22 @@
             self._pause()
 
     def receive(self) -> None:
-        """Read once and take what came; what goes wrong ends this connection alone."""
-        if self.closed or self.deaf:
-            return
+        """Read and take what came; what goes wrong ends this connection alone.
+
+        Until nothing is left: the loop stops looking at a socket that was reset with bytes unread.
+        """
         try:
-            size = self.sock.recv_into(self.shop.scratch)
-            if size:
+            for _ in range(ROW):
+                if not self.reading:  # closed, deaf, or paused
+                    return
+                size = self.sock.recv_into(self.shop.scratch)
+                if not size:
+                    self.close()
+                    return
                 self._received(size)
-            else:
-                self.close()
+            if self.reading:
+                self._pause()
+                self.shop.read_on(self)
         except (BlockingIOError, InterruptedError):
             return
         except ProtocolError as error:
--- /dev/null
+++ b/tests/test_idle.py
@@ -0,0 +1,349 @@
+"""Idle connections: at rest next to nothing; storms of wakes and closes, limits, standstill, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import struct
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from quincepier import clock
+from quincepier.checks import Checks
+from quincepier.clients.section import ClientsSection, Places
+from quincepier.memory.budget import Budget
+from quincepier.memory.pool import Body, BufferPool
+from quincepier.net.actor import Mailbox
+from quincepier.net.client import READS, ClientConnection, Shop
+from quincepier.net.means import Means
+from quincepier.net.messages import Answer, Came, ToModule
+from quincepier.net.sockets import Descriptors
+from tests.fcgikit import Reader, begin, call, params, rec
+from tests.frontkit import make_config
+from tests.standins import Cache, Client, Front, play, until
+from tests.test_front import fleet
+
+PING = call(1, {"SCRIPT_NAME": "/ping"})
+
+
+def make_shop(sockets: int = 1024, places: Places | None = None) -> Shop:
+    checks, pool = Checks(), BufferPool(8)
+    module: Mailbox[ToModule] = Mailbox(4096)
+    budget = Budget(buffers=8, bodies=1 << 20, requests=4096)
+    means = Means(make_config(), checks, pool, Descriptors(sockets), module, budget)
+    return Shop(means, lambda: True, places)
+
+
+class Peer:
+    """The other end of a connection of the shop."""
+
+    def __init__(self, shop: Shop) -> None:
+        ours, self.sock = socket.socketpair()
+        ours.setblocking(False)
+        self.sock.setblocking(False)
+        self.reader = Reader()
+        connection = shop.admit(ours)
+        assert connection is not None
+        self.connection: ClientConnection = connection
+
+    def read(self) -> None:
+        try:
+            while data := self.sock.recv(65536):
+                self.reader.feed(data)
+        except BlockingIOError:
+            pass
+
+    def answered(self, request: int) -> bool:
+        self.read()
+        return request in self.reader.got and self.reader.got[request].ended is not None
+
+
+def on_loop(scenario: object) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(scenario())  # type: ignore[operator]
+
+
+def test_at_rest_a_connection_holds_neither_task_nor_buffer_nor_decoder() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        peers = [Peer(shop) for _ in range(200)]
+        for peer in peers:
+            peer.sock.send(PING)
+        await until(lambda: all(peer.answered(1) for peer in peers), "all are answered")
+        assert not shop.talking and all(peer.connection.talk is None for peer in peers)
+        assert len(asyncio.all_tasks()) == 1 and shop.pool.used == 1  # the buffer all are read into
+        shop.sweep(clock.now())
+        for step in range(1, 40):  # the first deadlines pass and none is set again
+            shop.sweep(clock.now() + step * clock.SECOND // 10)
+        assert len(shop.wheel) == 0 and len(shop.connections) == 200
+        for peer in peers:
+            peer.connection.close()
+        assert not shop.connections and shop.descriptors.clients == 0 and len(shop.roll) == 0
+
+    on_loop(scenario)
+
+
+def test_a_storm_is_read_in_slices_and_what_else_the_loop_has_comes_between() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        peers = [Peer(shop) for _ in range(400)]
+        await asyncio.sleep(0)
+        for peer in peers:
+            peer.sock.send(PING)
+        seen, loop = list[int](), asyncio.get_running_loop()
+
+        def look() -> None:
+            seen.append(sum(peer.connection.asked for peer in peers))
+            if seen[-1] < len(peers):
+                loop.call_soon(look)
+
+        look()
+        await until(lambda: all(peer.answered(1) for peer in peers), "all are answered")
+        steps = [b - a for a, b in zip(seen, seen[1:], strict=False)]
+        assert max(steps) <= 2 * READS and sum(step > 0 for step in steps) >= len(peers) // (2 * READS)
+        assert shop.turns.longest > 0 and not shop.turns.line
+        for peer in peers:
+            peer.connection.close()
+
+    on_loop(scenario)
+
+
+def test_wake_and_close_in_one_turn_and_half_of_all_closing_at_once() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        peers = [Peer(shop) for _ in range(300)]
+        for peer in peers[::2]:
+            peer.sock.send(call(1, params("1" * 16)))
+            peer.sock.close()
+        for peer in peers[1::2]:
+            peer.sock.send(PING)
+        await until(lambda: len(shop.connections) == 150, "half are gone")
+        await until(lambda: all(peer.answered(1) for peer in peers[1::2]), "the others are answered")
+        assert shop.descriptors.clients == len(shop.roll) == 150 and not shop.bodies
+        assert "exception in the client actor" not in shop.checks.counts
+        for peer in peers[1::2]:
+            peer.connection.close()
+
+    on_loop(scenario)
+
+
+def test_a_client_that_asks_and_resets_is_gone() -> None:
+    """The reset comes with bytes unread: the loop tells of it once, and then no more."""
+
+    async def scenario() -> None:
+        shop = make_shop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            for _ in range(20):
+                peer = socket.create_connection(server.getsockname())
+                ours, _ = server.accept()
+                ours.setblocking(False)
+                shop.admit(ours)
+                await asyncio.sleep(0)
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                peer.send(call(1, params("1" * 16)))
+                peer.close()
+        await until(lambda: not shop.connections, "all are gone")
+        assert shop.descriptors.clients == 0
+
+    on_loop(scenario)
+
+
+def test_a_pool_used_up_keeps_nobody_from_asking() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        assert shop.pool.take(shop.pool.most - shop.pool.used) is not None and shop.pool.take() is None
+        peer = Peer(shop)
+        peer.sock.send(PING)
+        await until(lambda: peer.answered(1), "it is answered")
+        peer.connection.close()
+
+    on_loop(scenario)
+
+
+def test_half_a_record_then_silence_is_closed_by_time_and_standstill_counts_for_nobody() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        half, silent, usual = Peer(shop), Peer(shop), Peer(shop)
+        half.sock.send(begin(1) + rec(4, 1)[:5])
+        usual.sock.send(PING)
+        await until(lambda: usual.answered(1) and half.connection.talk is not None, "they are read")
+        now = clock.now()
+        for _ in range(5):  # the front stood still five times for a minute
+            now += 60 * clock.SECOND
+            shop.sweep(now)
+        assert {half.connection, silent.connection, usual.connection} == shop.connections
+        for _ in range(12):
+            now += clock.SECOND // 5
+            shop.sweep(now)
+        assert shop.connections == {usual.connection}
+        assert shop.checks.counts["client closed: half a request for too long"] == 0  # it never asked whole
+        assert shop.checks.counts["client closed: no whole request in time"] == 2
+        usual.sock.send(begin(2) + rec(4, 2)[:5])
+        await until(lambda: usual.connection.talk is not None, "it is read")
+        for _ in range(14):
+            now += clock.SECOND // 5
+            shop.sweep(now)
+        assert not shop.connections and shop.checks.counts["client closed: half a request for too long"] == 1
+
+    on_loop(scenario)
+
+
+def test_answers_that_the_socket_does_not_take_go_on_later_and_an_untaken_last_one_is_cut() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        peer, large = Peer(shop), os.urandom(40_000) * 6
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.sock.send(b"".join(call(n, params(f"{n:016x}")) for n in range(1, 33)))
+        await until(lambda: len(shop.module.last) == 32, "all are asked")
+        shop.pool.most = 1000
+        while (message := shop.module.take()) is not None:
+            assert isinstance(message, Came)
+            body = Body.of_length(shop.pool, len(large))
+            assert body is not None
+            body.append(large)
+            message.request.owner.push(Answer(message.request, 200, body))
+        await until(lambda: peer.connection.writer is not None, "the socket is full")
+        assert peer.connection.owed
+        await until(lambda: all(peer.answered(n) for n in range(1, 33)), "all are taken in the end")
+        assert all(got.body == large for got in peer.reader.got.values()) and shop.pool.used == 1
+        await until(lambda: peer.connection.talk is None, "it rests")
+        peer.sock.send(call(40, params("f" * 16), keep=False))
+        await until(lambda: bool(shop.module.last), "the last is asked")
+        message = shop.module.take()
+        assert isinstance(message, Came)
+        body = Body.of_length(shop.pool, len(large))
+        assert body is not None
+        body.append(large)
+        message.request.owner.push(Answer(message.request, 200, body))
+        await until(lambda: peer.connection.writer is not None, "the socket is full")
+        now = clock.now()
+        while not peer.connection.closed:
+            now += clock.SECOND // 5
+            shop.sweep(now)
+        await until(lambda: not shop.connections, "its socket is closed behind its writer")
+        assert shop.pool.used == 1 and shop.descriptors.clients == 0
+
+    on_loop(scenario)
+
+
+def test_at_the_limit_a_crowd_of_one_network_does_not_push_out_another() -> None:
+    async def scenario() -> None:
+        section = ClientsSection(each=0, rest_least_ms=0, slack=1)
+        shop = make_shop(64, Places(section))
+        most, few = shop.descriptors.clients_most, list[ClientConnection]()
+
+        def come(host: str) -> ClientConnection | None:
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            kept.append(theirs)
+            return shop.admit(ours, host)
+
+        kept: list[socket.socket] = []
+        for n in range(4):
+            connection = come(f"192.0.2.{n}")
+            assert connection is not None
+            few.append(connection)
+            shop.roll.asked(connection)
+            shop.roll.rests(connection, 0)
+        for n in range(5 * most):
+            connection = come(f"198.51.100.{n % 200}")
+            if connection is not None:
+                shop.roll.asked(connection)
+                shop.roll.rests(connection, n)
+        assert len(shop.connections) == most == shop.descriptors.clients
+        assert not any(connection.closed for connection in few)
+        for connection in list(shop.connections):
+            connection.close()
+
+    on_loop(scenario)
+
+
+def test_what_the_front_itself_refuses_is_told_different_times_to_come_back() -> None:
+    shop = make_shop()
+    told = {shop.wait_ms() for _ in range(50)}
+    assert len(told) > 20 and all(w is not None and 0.6 * 500 <= w <= 500 for w in told)
+    assert {make_shop().wait_ms() for _ in range(3)} == {make_shop().wait_ms()}  # from the front's seed
+
+
+async def idle(front: Front, count: int) -> list[Client]:
+    clients = [await front.client() for _ in range(count)]
+    for client in clients:
+        client.send(PING)
+    for client in clients:
+        assert (await client.ended(1)).status == 200
+    return clients
+
+
+def test_all_of_them_wake_while_the_active_few_are_served(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        front = Front(tmp_path, {name: Cache(behaviour) for name, behaviour in fleet().items()})
+        try:
+            await front.start(limits={"cores": 1.0, "memory_mb": 32, "sockets": 256})
+            clients = await idle(front, 100)
+            few = await front.client()
+            front.signal(signal.SIGHUP)
+            await until(lambda: front.logged("configuration read again"), "SIGHUP with all of them idle")
+            for n, client in enumerate(clients):
+                client.send(call(2, params(f"{n + 100:016x}", HTTP_X_N=str(n % 5))))
+            for n in range(2, 12):
+                few.ask(n, "bid", b"offer", HTTP_X_JOB_ID=f"{n + 900:016x}")  # the highest tier goes on
+                assert (await few.ended(n)).status == 200
+            statuses = [(await client.ended(2)).status for client in clients]
+            assert set(statuses) <= {200, 503} and not any(client.closed for client in clients)
+            front.signal(signal.SIGTERM)
+            assert await front.code() == 0
+            assert not any("exception" in line for line in front.lines)
+        finally:
+            await front.stop()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("stand", [0.0, 2.2])
+def test_a_standstill_of_the_process_ends_nobody(tmp_path: Path, stand: float) -> None:
+    async def scenario(front: Front) -> None:
+        rested = await idle(front, 30)
+        half = await front.client()
+        half.send(begin(1) + rec(4, 1, b"")[:5])
+        new = await front.client()
+        if stand:
+            front.signal(signal.SIGSTOP)
+            await asyncio.sleep(stand)
+            front.signal(signal.SIGCONT)
+        new.send(PING)
+        assert (await new.ended(1)).status == 200
+        assert not half.closed and not any(client.closed for client in rested)
+        rested[0].ask(2)
+        assert (await rested[0].ended(2)).status == 200
+
+    play(tmp_path, fleet(), scenario)
+
+
+def test_a_close_for_long_rest_that_crosses_a_request_costs_one_new_connection(tmp_path: Path) -> None:
+    async def over() -> None:
+        operator = tmp_path / "operator.yaml"
+        operator.write_text("clients: {rest_most_s: 0.4}\n")
+        front = Front(tmp_path, {name: Cache(behaviour) for name, behaviour in fleet().items()})
+        front.operator = operator
+        try:
+            await front.start()
+            client = (await idle(front, 1))[0]
+            await until(lambda: client.closed, "it rested for too long")
+            client.send(PING)  # crosses the close
+            again = (await idle(front, 1))[0]
+            again.ask(2)
+            assert (await again.ended(2)).status == 200
+            operator.write_text("clients: {rest_most_s: 0}\n")
+            front.signal(signal.SIGHUP)
+            await until(lambda: front.logged("clients changed"), "the new bound holds")
+            last = (await idle(front, 1))[0]
+            await asyncio.sleep(0.8)
+            assert not last.closed
+        finally:
+            await front.stop()
+
+    asyncio.run(over())
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -16,7 +16,7 @@
 
 from quincepier.addresses import Family
 from quincepier.addresses.section import AddressesSection
-from quincepier.operator import LogSection, OperatorError, load, read
+from quincepier.operator import SECTIONS, LogSection, OperatorError, load, read
 from tests.frontkit import raw_config
 from tests.scripted import Machine
 from tests.standins import Asked, Cache, Front, until
@@ -33,7 +33,7 @@
 def test_the_example_is_good_and_its_defaults_are_those_of_the_section() -> None:
     file = load(str(EXAMPLE))
     section, log = file.get(AddressesSection), file.get(LogSection)
-    assert file.names == ["log", "addresses"] and section is not None and log is not None
+    assert file.names == ["log", "addresses", "clients"] and section is not None and log is not None
     assert [a.family for a in section.machines["s-1"]] == [Family.IP6, Family.UNIX]
     assert section.limits == AddressesSection().limits and log.format == "json"
 
@@ -105,7 +105,7 @@
     except OperatorError as error:
         assert error.faults and all(fault.startswith("op.yaml:") for fault in error.faults)
     else:
-        assert set(file.names) <= {"log", "addresses"}
+        assert set(file.names) <= set(SECTIONS)
 
 
 def test_files_that_can_not_be_opened_or_are_too_large(tmp_path: Path) -> None:
