--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -40,7 +40,8 @@
 ACCEPTS = 8  # new clients in a row
 SWEPT = 2000  # timers looked at in one sweep; what is left is due at the next
 ROW = 4  # reads of one connection in a row
-READS = 64  # connections read in one turn of the loop; the others wait in line
+READS, WAKES = 64, 16  # connections read in one turn of the loop: at work, and such as rested for long
+ACTIVE_FOR = 5 * clock.SECOND  # since bytes last came or went, for a connection to count as at work
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
@@ -65,7 +66,8 @@
         now = clock.now()
         self.patience = Patience(now, LATE)
         self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
-        self.turns: Turns[ClientConnection] = Turns(READS)
+        self.active: Turns[ClientConnection] = Turns(READS)
+        self.waking: Turns[ClientConnection] = Turns(WAKES)
         self.turning = False
         self.random = random.Random(means.config.seed)
 
@@ -145,12 +147,21 @@
     def may_read(self, connection: ClientConnection) -> bool:
         """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
         self._turn_comes()
-        return self.turns.may(connection)
+        return self._lane(connection).may(connection)
 
     def read_on(self, connection: ClientConnection) -> None:
         """It has more to read than its part of a turn."""
         self._turn_comes()
-        self.turns.wait(connection)
+        self._lane(connection).wait(connection)
+
+    def _lane(self, connection: ClientConnection) -> Turns[ClientConnection]:
+        """Who rested for long does not come before those who are at work, nor do these keep it out."""
+        busy = connection.talk is not None or clock.now() - connection.moved < ACTIVE_FOR
+        return self.active if busy else self.waking
+
+    def leave_line(self, connection: ClientConnection) -> None:
+        self.active.leave(connection)
+        self.waking.leave(connection)
 
     def _turn_comes(self) -> None:
         if not self.turning:
@@ -158,11 +169,11 @@
             asyncio.get_running_loop().call_soon(self._turn)
 
     def _turn(self) -> None:
-        for connection in self.turns.turn():
+        for connection in self.active.turn() + self.waking.turn():
             connection.resume()
             connection.receive()
-        if self.turns.line:
-            self.checks.count("reads that waited for a turn", len(self.turns.line))
+        if waiting := len(self.active.line) + len(self.waking.line):
+            self.checks.count("reads that waited for a turn", waiting)
             asyncio.get_running_loop().call_soon(self._turn)
         else:
             self.turning = False
@@ -354,7 +365,7 @@
         self.closed = True
         self._pause()
         shop, talk = self.shop, self.talk
-        shop.turns.leave(self)
+        shop.leave_line(self)
         if self.timer is not None:
             shop.wheel.cancel(self.timer)
             self.timer = None
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -18,7 +18,7 @@
 from quincepier.memory.budget import Budget
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.net.actor import Mailbox
-from quincepier.net.client import READS, ClientConnection, Shop
+from quincepier.net.client import READS, WAKES, ClientConnection, Shop
 from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, ToModule
 from quincepier.net.sockets import Descriptors
@@ -87,10 +87,13 @@
     on_loop(scenario)
 
 
-def test_a_storm_is_read_in_slices_and_what_else_the_loop_has_comes_between() -> None:
+@pytest.mark.parametrize(("rested", "slice"), [(False, READS), (True, WAKES)])
+def test_a_storm_is_read_in_slices_and_what_else_the_loop_has_comes_between(rested: bool, slice: int) -> None:
     async def scenario() -> None:
         shop = make_shop()
         peers = [Peer(shop) for _ in range(400)]
+        for peer in peers:
+            peer.connection.moved -= rested * 60 * clock.SECOND
         await asyncio.sleep(0)
         for peer in peers:
             peer.sock.send(PING)
@@ -104,14 +107,33 @@
         look()
         await until(lambda: all(peer.answered(1) for peer in peers), "all are answered")
         steps = [b - a for a, b in zip(seen, seen[1:], strict=False)]
-        assert max(steps) <= 2 * READS and sum(step > 0 for step in steps) >= len(peers) // (2 * READS)
-        assert shop.turns.longest > 0 and not shop.turns.line
+        assert max(steps) <= 2 * slice and sum(step > 0 for step in steps) >= len(peers) // (2 * slice)
+        assert (shop.waking if rested else shop.active).longest > 0
+        assert not shop.waking.line and not shop.active.line
         for peer in peers:
             peer.connection.close()
 
     on_loop(scenario)
 
 
+def test_who_is_at_work_is_served_before_a_crowd_that_wakes() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        crowd, few = [Peer(shop) for _ in range(400)], [Peer(shop) for _ in range(3)]
+        for peer in crowd:
+            peer.connection.moved -= 60 * clock.SECOND
+            peer.sock.send(PING)
+        for peer in few:
+            peer.sock.send(PING)
+        await until(lambda: all(peer.connection.asked for peer in few), "the few are read")
+        assert sum(peer.connection.asked for peer in crowd) < 200
+        await until(lambda: all(peer.answered(1) for peer in crowd), "the crowd is served as well")
+        for peer in (*crowd, *few):
+            peer.connection.close()
+
+    on_loop(scenario)
+
+
 def test_wake_and_close_in_one_turn_and_half_of_all_closing_at_once() -> None:
     async def scenario() -> None:
         shop = make_shop()
