The laboratory's first part: fleets of modules in virtual time, a judge, variants paired by seed

A judge that shares no code with a front checks the five rules from outside; a module made to repeat bids is found with the request's timeline. lab compare gives paired differences with a bootstrap interval and a verdict.

--- a/quincepier/__main__.py
+++ b/quincepier/__main__.py
@@ -3,17 +3,27 @@
 Usage:
   quincepier serve [--config FILE] [--operator FILE]
   quincepier check-config [--config FILE] [--operator FILE]
+  quincepier lab run EXPERIMENT [--out FILE] [--processes N]
+  quincepier lab compare A B [--runs FILE]
+  quincepier lab list [--folder DIR]
   quincepier version
   quincepier (-h | --help)
 
 Commands:
   serve         Run one front in the foreground until SIGTERM or SIGINT.
   check-config  Read and check the configuration, print a summary, and exit.
+  lab run       Play an experiment in virtual time, judge the rules, compare its variants (docs/lab.md).
+  lab compare   Two files of runs, or two variants of the one named by --runs, paired by seed.
+  lab list      The experiments of a folder.
   version       Print the version.
 
 Options:
   --config FILE    The configuration, a JSON file; without it the path in ROUTER_CONFIG.
   --operator FILE  The operators' file, YAML; without it the path in ROUTER_OPERATOR, if any.
+  --out FILE       Keep the runs there, as JSON.
+  --processes N    Runs played side by side [default: 1].
+  --runs FILE      A file of runs.
+  --folder DIR     Where experiments are [default: experiments].
   -h --help        Show this text.
 
 Environment:
@@ -22,7 +32,8 @@
   ROUTER_NAME      The front's name; goes before the file's.
   ROUTER_LISTEN    Where clients connect, such as 127.0.0.1:5050; goes before the file's.
 
-Exit codes: 0 done, 1 the address can't be had, 2 the configuration or the command line is at fault.
+Exit codes: 0 done, 1 the address can't be had, or a rule broke in the laboratory, 2 a file or the command
+line is at fault.
 """
 
 from __future__ import annotations
@@ -61,6 +72,10 @@
     if chosen["version"]:
         print(f"quincepier {__version__}")
         return 0
+    if chosen["lab"]:
+        from quincepier.lab import command
+
+        return command.run(chosen)
     place, operators = chosen["--operator"] or os.environ.get("ROUTER_OPERATOR"), None
     try:
         if place:
--- /dev/null
+++ b/quincepier/lab/command.py
@@ -0,0 +1,117 @@
+"""The sub-commands `lab run`, `lab compare` and `lab list`."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from quincepier.config import SettingsError
+from quincepier.lab.compare import Verdict, compare
+from quincepier.lab.experiment import load
+from quincepier.lab.runs import Kept, Run, keep, play_all, read_kept
+from quincepier.lab.tally import Figures
+
+# What is compared: the figure's name, and whether more of it is better.
+COMPARED = {
+    "worth": True,
+    "worst_second": True,
+    "refused": False,
+    "late": False,
+    "fetches": False,
+    "p99_ms": False,
+}
+WIDTH = 180
+STYLE = {Verdict.BETTER: "green", Verdict.WORSE: "red", Verdict.SAME: "dim"}
+
+
+def run(chosen: Mapping[str, Any]) -> int:
+    """The exit code: 0 done, 1 where a rule broke, 2 for a file that can't be used."""
+    out = Console()
+    if not out.is_terminal:  # into a file: wide enough for every column
+        out = Console(width=WIDTH)
+    try:
+        if chosen["run"]:
+            return _run(chosen["EXPERIMENT"], chosen["--out"], int(chosen["--processes"] or 1), out)
+        if chosen["compare"]:
+            return _compare(chosen["A"], chosen["B"], chosen["--runs"], out)
+        return _list(chosen["--folder"] or "experiments", out)
+    except (SettingsError, ValueError) as error:
+        print(f"quincepier: {error}", file=sys.stderr)
+        return 2
+
+
+def _row(run: Run) -> list[str]:
+    f = run.figures
+    broken = "none" if not f.broken else f"[red]{f.broken}[/red]"
+    times = f"{f.p50_ms:.0f}", f"{f.p99_ms:.0f}"
+    counts = f.served, f.late, f.refused, f.failed, f.fills, f.fetches
+    worths = f"{f.worth:.4f}", f"{f.worst_second:.3f}"
+    return [run.variant, str(run.seed), *worths, *map(str, counts), *times, broken]
+
+
+def _run(path: str, to: str | None, processes: int, out: Console) -> int:
+    table = Table("variant", "seed", "worth", "worst second", "served", "late", "refused", "failed", "fills",
+                  "fetches", "p50 ms", "p99 ms", "rules broken")  # fmt: skip
+    runs: list[Run] = []
+
+    def done(run: Run) -> None:
+        runs.append(run)
+        table.add_row(*_row(run))
+
+    kept = play_all(path, processes, done)
+    out.print(table)
+    for run in runs:
+        for line in run.figures.first_broken:
+            out.print(f"{run.variant}, seed {run.seed}: {line}", highlight=False)
+    if to is not None:
+        keep(kept, to)
+        out.print(f"kept in {to}")
+    first, *others = kept.variants
+    for other in others:
+        out.print(_differences(first, kept.of(first), other, kept.of(other)))
+    return 1 if any(run.figures.broken for run in runs) else 0
+
+
+def _differences(name: str, first: Mapping[int, Figures], other: str, second: Mapping[int, Figures]) -> Table:
+    columns = "figure", name, other, "difference", "95 in 100 between", "verdict"
+    table = Table(*columns, title=f"{other} over {name}")
+    for figure, more in COMPARED.items():
+        one, two = ({s: float(getattr(f, figure)) for s, f in side.items()} for side in (first, second))
+        d = compare(one, two, more)
+        verdict = f"[{STYLE[d.verdict]}]{d.verdict.value}[/]"
+        between = f"{d.low:+.4g} to {d.high:+.4g}"
+        table.add_row(figure, f"{d.first:.4g}", f"{d.second:.4g}", f"{d.mean:+.4g}", between, verdict)
+    return table
+
+
+def _side(name: str, kept: Kept) -> tuple[str, dict[int, Figures]]:
+    variant = name if name in kept.variants else kept.variants[0]
+    return variant, kept.of(variant)
+
+
+def _compare(a: str, b: str, runs: str | None, out: Console) -> int:
+    """Two variants of one file of runs, or the first variants of two files."""
+    if runs is not None:
+        kept = read_kept(runs)
+        for name in (a, b):
+            if name not in kept.variants:
+                raise ValueError(f"{runs} has no variant {name!r}; there are {', '.join(kept.variants)}")
+        out.print(_differences(a, kept.of(a), b, kept.of(b)))
+        return 0
+    (one, first), (other, second) = _side("", read_kept(a)), _side("", read_kept(b))
+    out.print(_differences(f"{Path(a).name}: {one}", first, f"{Path(b).name}: {other}", second))
+    return 0
+
+
+def _list(folder: str, out: Console) -> int:
+    table = Table("file", "experiment", "seeds", "variants", "what it shows")
+    for path in sorted(Path(folder).glob("*.yaml")):
+        e = load(str(path))
+        table.add_row(str(path), e.name, str(len(e.seeds)), ", ".join(v.name for v in e.variants), e.says)
+    out.print(table)
+    return 0
--- /dev/null
+++ b/quincepier/lab/experiment.py
@@ -0,0 +1,181 @@
+"""An experiment: a YAML file of a fleet, classes, load, faults, seeds and variants; checked whole."""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from quincepier.interface import Effect, Group, RequestClass, Settings
+from quincepier.operator.reading import OperatorError, read_struct
+
+MS = 1_000_000
+SECOND = 1000 * MS
+EDGE, PARENT, ORIGIN = 0, 1, 2  # kinds of machine, by their number
+
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+AtLeast0 = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=60)]
+
+
+class Kind(Enum):
+    """What a fault does. All but `purge` and `lag` last for `lasts` seconds and strike a part of one tier."""
+
+    CRASH = "crash"  # processes die: connections refused; they come back empty and cold
+    LOST = "lost"  # gone without a word: nothing is refused, nothing answered
+    SLOW = "slow"  # `size` times slower
+    DRAIN = "drain"  # told to drain, gone 3 s later, replaced by new ones under new ids
+    LAG = "lag"  # the list is told `size` seconds later
+    PURGE = "purge"  # that part of the groups is purged
+    RUSH = "rush"  # `size` times the load
+
+
+class Fleet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    zones: Count = 2
+    fronts: Count = 4  # in all, by turns to the zones; so are caches
+    caches: Count = 8
+    parents: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 2
+    cache_sends: Positive = 12  # transfers at full pace at once
+    parent_sends: Positive = 24
+    origin_runs: Positive = 24
+    cache_keeps: Count = 400  # parts of objects
+    parent_keeps: Count = 2000
+    near_ms: Positive = 1.0  # one way, front to cache
+    far_ms: Positive = 8.0  # one way, to parents and the origin
+    origin_ms: Positive = 30.0  # of work there for each fetch
+    cold_from: Share = 0.2
+    cold_s: Positive = 13.0
+    fall_multiple: Positive = 2.5
+    fall_s: Positive = 1.5
+    told_ms: Positive = 150.0  # until the list's changes and purges are told
+
+
+class Class(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: Name
+    share: Positive
+    send_ms: Positive
+    wanted_ms: Positive
+    deadline_ms: Positive
+    worth: Positive = 1.0
+    stretch: AtLeast0 = 2.0
+    effect: Effect = Effect.SAFE
+    objects: Count = 500
+    parts: Count = 1
+    zipf: AtLeast0 = 1.0
+    fresh_s: AtLeast0 = 0.0
+    grace_s: AtLeast0 = 0.0
+    never_kept: bool = False
+
+    def __post_init__(self) -> None:
+        if self.wanted_ms > self.deadline_ms:
+            raise ValueError("wanted_ms <= deadline_ms is wanted")
+
+
+class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    rate: Positive = 140.0  # first tries a second, of the whole fleet
+    retries: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
+    back_off_ms: Positive = 50.0
+    groups: Count = 32
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    at: AtLeast0
+    kind: Kind
+    tier: Annotated[int, msgspec.Meta(ge=0, le=2)] = EDGE
+    part: Share = 0.25
+    lasts: AtLeast0 = 10.0
+    size: AtLeast0 = 4.0
+
+
+class Variant(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What differs: settings of the module by name, as in `quincepier.interface.Settings`."""
+
+    name: Name
+    settings: dict[str, Any] = {}
+
+    def __post_init__(self) -> None:
+        known = Settings.__dataclass_fields__
+        if unknown := [name for name in self.settings if name not in known]:
+            raise ValueError(f"no such setting: {', '.join(unknown)}")
+
+
+class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: Name
+    classes: Annotated[tuple[Class, ...], msgspec.Meta(min_length=1, max_length=20)]
+    says: str = ""
+    seconds: Annotated[float, msgspec.Meta(gt=0, le=600)] = 30.0
+    seeds: Annotated[tuple[int, ...], msgspec.Meta(min_length=1, max_length=100)] = (1, 2, 3)
+    fleet: Fleet = Fleet()
+    load: Load = Load()
+    faults: Annotated[tuple[Fault, ...], msgspec.Meta(max_length=100)] = ()
+    variants: Annotated[tuple[Variant, ...], msgspec.Meta(max_length=10)] = (Variant("as it is"),)
+
+    def __post_init__(self) -> None:
+        if len({variant.name for variant in self.variants}) < len(self.variants):
+            raise ValueError("two variants have one name")
+
+    def settings(self, zone: int, variant: Variant) -> Settings:
+        """Of the module of a front in that zone."""
+        fleet = self.fleet
+        by_zone = [0] + [len(range(z, fleet.fronts, fleet.zones)) for z in range(fleet.zones)]
+        plain = Settings(
+            zone=zone + 1,  # zone 0 is the hub's
+            fronts=fleet.fronts,
+            fronts_by_zone=tuple(by_zone),
+            classes=tuple(self._class(c) for c in self.classes),
+            tenant_quotas=(),
+            over_share_worth=0.0,
+            parent_kind=PARENT,
+            origin_kind=ORIGIN,
+            direct=True,
+            joins=True,
+            siblings=False,
+            reports=(),
+            client_kb_per_s=0.0,
+            sizes_compare=True,
+            purge_settles=6 * SECOND,
+            cold_from=fleet.cold_from,
+            cold_multiple=fleet.fall_multiple,
+            cold_window=int(fleet.fall_s * SECOND),
+            cold_time=int(fleet.cold_s * SECOND),
+            parent_cold_from=fleet.cold_from,
+            parent_cold_multiple=fleet.fall_multiple,
+            parent_cold_time=int(fleet.cold_s * SECOND),
+            list_on_request=False,
+            must_ask_in=0,
+            cancel=True,
+            second_copies=True,
+            attempts=8,
+            retry_after=True,
+            max_retry_after=SECOND // 2,
+            step=MS,
+        )
+        return Settings(**{f: getattr(plain, f) for f in Settings.__dataclass_fields__} | variant.settings)
+
+    def _class(self, c: Class) -> RequestClass:
+        return RequestClass(
+            effect=c.effect,
+            group=Group.ALL,
+            window=5 * SECOND,
+            on_time=int(c.wanted_ms * MS),
+            stretch=c.stretch,
+            deadline=int(c.deadline_ms * MS),
+            worth=c.worth,
+            stream=False,
+            fresh=int(c.fresh_s * SECOND),
+            grace=int(c.grace_s * SECOND),
+            never_kept=c.never_kept,
+        )
+
+
+def load(path: str) -> Experiment:
+    """Raises OperatorError with all that is wrong, each with line and key."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorError([f"{path}: can't be read: {error}"]) from None
+    return read_struct(text, path, Experiment)
--- a/quincepier/operator/reading.py
+++ b/quincepier/operator/reading.py
@@ -210,6 +210,22 @@
     return OperatorFile(sections)
 
 
+def read_struct(text: str, name: str, kind: type[S]) -> S:
+    """A file that is one struct, read as the operators' file is; raises OperatorError with all faults."""
+    reader, found = _Reader(name), None
+    try:
+        root = reader.nodes(text)
+        if root is None:
+            reader.fault(1, "", "the file is empty")
+        else:
+            found = reader.struct(root, kind, "", getattr(kind, "MADE", {}))
+    except _Unusable:
+        pass
+    if found is None or reader.faults:
+        raise OperatorError(reader.faults)
+    return found
+
+
 def load(path: str) -> OperatorFile:
     """The file at a path, as `read` does; a file that can't be read is an OperatorError too."""
     try:
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,217 @@
+"""The laboratory: the machine's model, the judge finds what is broken, runs are the same each time."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quincepier import interface as io
+from quincepier.lab.compare import Verdict, compare
+from quincepier.lab.experiment import MS, SECOND, Experiment, Variant, load
+from quincepier.lab.judge import DRAIN_GRACE, PURGE_GRACE, Judge
+from quincepier.lab.model import Cold, Sharing, Store
+from quincepier.lab.runs import Kept, keep, play, read_kept
+from quincepier.lab.world import World
+from quincepier.operator import OperatorError
+from quincepier.operator.reading import read_struct
+from quincepier.policy import Router
+
+FOLDER = Path(__file__).parent.parent / "experiments"
+SMALL = """
+name: small
+seconds: 8
+seeds: [1]
+fleet: {fronts: 3, caches: 4, zones: 1}
+load: {rate: 60}
+classes:
+  - {name: photo, share: 0.9, send_ms: 20, wanted_ms: 300, deadline_ms: 2000, objects: 200}
+  - {name: bid, share: 0.1, send_ms: 5, wanted_ms: 700, deadline_ms: 3000, worth: 3,
+     effect: unsafe, never_kept: true}
+"""
+
+
+def small(faults: str = "") -> Experiment:
+    return read_struct(SMALL + (f"faults: [{faults}]\n" if faults else ""), "small.yaml", Experiment)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(st.tuples(st.integers(0, 50), st.integers(1, 80)), min_size=1, max_size=9), st.integers(1, 4))
+def test_shared_sending_against_small_steps(script: list[tuple[int, int]], places: int) -> None:
+    """The clock of service gives the ends that sending it bit by bit gives."""
+    sharing, now, ends = Sharing(places), 0, dict[int, float]()
+    arrivals, at = list[tuple[int, int]](), 0
+    for wait, work in script:
+        at += wait
+        arrivals.append((at, work))
+    left = {n: float(work) for n, (_, work) in enumerate(arrivals)}
+    slow, step = dict[int, float](), 0.05
+    clock = 0.0
+    while len(slow) < len(arrivals):
+        running = [n for n, (start, _) in enumerate(arrivals) if start <= clock and n not in slow]
+        pace = min(1.0, places / len(running)) if running else 1.0
+        for n in running:
+            left[n] -= step * pace
+            if left[n] <= 1e-9:
+                slow[n] = clock + step
+        clock += step
+    scale = 1000
+    for n, (start, work) in enumerate(arrivals):
+        while (due := sharing.next()) is not None and due <= start * scale:
+            now = due
+            ends |= {done: now / scale for done in sharing.done(now)}
+        now = start * scale
+        ends |= {done: now / scale for done in sharing.done(now)}
+        sharing.begin(now, work * scale, n)
+    while (due := sharing.next()) is not None:
+        ends |= {done: due / scale for done in sharing.done(due)}
+    assert ends.keys() == slow.keys() and not sharing.busy
+    assert all(abs(ends[n] - slow[n]) <= 0.2 + 0.02 * len(arrivals) for n in ends)
+
+
+def test_a_transfer_called_off_gives_its_share_back() -> None:
+    sharing = Sharing(1)
+    first, _ = sharing.begin(0, 1000, "a"), sharing.begin(0, 1000, "b")
+    sharing.stop(500, first)
+    assert sharing.next() == 1251 and sharing.done(1251) == ["b"] and not sharing.busy
+
+
+def test_what_a_store_lets_go_of_and_when_a_cold_machine_falls() -> None:
+    store = Store(2)
+    store.put("a", 1)
+    store.put("b", 1)
+    assert store.get("a") == 1
+    store.put("c", 1)
+    assert store.get("b") is None and store.get("a") == 1
+    cold = Cold(10 * SECOND, 0.2, 10.0, 2.5, SECOND, places=4)
+    assert cold.share(10 * SECOND) == 0.2 and cold.share(20 * SECOND) == 1.0
+    asks = [cold.ask(12 * SECOND + n * 10 * MS, 100 * MS) for n in range(60)]
+    assert not any(asks[:25]) and any(asks)  # 2.5 times 0.28 of four places for a second is 2.8 s of work
+    warm = Cold(0, 0.2, 10.0, 2.5, SECOND, places=4)
+    assert not any(warm.ask(n, 10 * SECOND) for n in range(50))
+
+
+# The judge
+
+
+def judged(*steps: tuple[str, tuple[object, ...]]) -> list[str]:
+    judge = Judge()
+    judge.asked(SECOND, 7, 0, "unsafe", 4 * SECOND)
+    for name, arguments in steps:
+        getattr(judge, name)(*arguments)
+    judge.end(9 * SECOND)
+    return [b.rule for b in judge.broken]
+
+
+def test_the_judge_finds_each_broken_rule_and_no_other() -> None:
+    good = ("answered", (2 * SECOND, 7, "served", None, 0, 0))
+    assert judged(good) == []
+    assert judged() == ["answer"]  # never answered
+    assert judged(good, good) == ["answer"]
+    assert judged(("answered", (4 * SECOND + 60 * MS, 7, "failed", None, 0, 0))) == ["answer"]
+    assert judged(("ran", (SECOND, 7, 3)), ("ran", (SECOND, 7, 4)), good) == ["effect"]
+    assert judged(("ran", (SECOND, 7, 3)), ("answered", (2 * SECOND, 7, "refused", None, 0, 0))) == ["effect"]
+    told = ("told_leaving", (SECOND, 0, 3))
+    late = SECOND + DRAIN_GRACE + 60 * MS
+    assert judged(told, ("sent", (SECOND + DRAIN_GRACE, 7, 0, 3, None)), good) == []
+    assert judged(told, ("sent", (late, 7, 0, 3, None)), good) == ["drain"]
+    assert judged(told, ("sent", (late, 7, 0, 9, 3)), good) == ["drain"]  # as a source
+    assert judged(told, ("sent", (late, 7, 1, 3, None)), good) == []  # another front, not told
+    purge = ("purged", (SECOND, 5, {0: SECOND}))
+    after = SECOND + PURGE_GRACE + 60 * MS
+    assert judged(purge, ("answered", (2 * SECOND, 7, "served", SECOND - 1, after, 5))) == ["purge"]
+    assert judged(purge, ("answered", (2 * SECOND, 7, "served", SECOND + 1, after, 5))) == []
+    assert judged(purge, ("answered", (2 * SECOND, 7, "served", SECOND - 1, SECOND, 5))) == []
+    assert judged(("fell", (SECOND, 3, 7)), good) == ["cold"]
+
+
+class Careless(Router):
+    """Sends a bid again whatever became of it."""
+
+    def harmless(self, req: object, node: object) -> bool:
+        return True
+
+
+def test_a_module_that_repeats_bids_is_found_by_the_judge(monkeypatch: pytest.MonkeyPatch) -> None:
+    experiment = small("{at: 2, kind: slow, tier: 2, part: 1, size: 60, lasts: 4}")
+    assert play(experiment, "as it is", 1).figures.broken == 0
+    monkeypatch.setattr("quincepier.lab.world.Router", Careless)
+    world = World(experiment, Variant("as it is"), 1)
+    for front in world.fronts:  # each attempt is given a short time, so that it is asked for again
+        send = front._send
+
+        def short(action: io.Ask | io.Fetch, send=send) -> None:  # type: ignore[no-untyped-def]
+            action.timeout = min(action.timeout or SECOND, SECOND)
+            send(action)
+
+        front._send = short  # type: ignore[method-assign]
+    figures = world.play().result()
+    assert figures.broken and any("an unsafe request ran" in line for line in figures.first_broken)
+    assert any("runs at" in line for line in figures.first_broken)
+
+
+# Whole runs
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        "",
+        "{at: 2, kind: crash, part: 0.5, lasts: 2}, {at: 3, kind: purge, part: 0.5}",
+        "{at: 1, kind: lag, size: 2, lasts: 5}, {at: 2, kind: drain, part: 0.5, lasts: 2}",
+        "{at: 2, kind: lost, tier: 1, part: 0.5, lasts: 3}, {at: 4, kind: rush, size: 2, lasts: 1}",
+    ],
+)
+def test_runs_keep_the_rules_and_are_the_same_to_the_byte(faults: str) -> None:
+    experiment = small(faults)
+    first, second = (play(experiment, "as it is", 3).figures for _ in range(2))
+    assert first == second and first.digest != play(experiment, "as it is", 4).figures.digest
+    assert first.broken == 0, first.first_broken
+    counts = first.by_class
+    ends = sum(n for c in counts.values() for word, n in c.items() if word != "asked" and "again" not in word)
+    assert ends == sum(c["asked"] for c in counts.values()) > 300, "everyone has one last word"
+    assert first.worth > (0.9 if not faults else 0.5) and first.rules["answer"] >= ends
+    calm = play(small(), "as it is", 3).figures
+    assert bool(faults) == (first.digest != calm.digest) and first.worth <= calm.worth
+
+
+def test_examples_are_good_and_runs_are_kept_whole(tmp_path: Path) -> None:
+    for path in FOLDER.glob("*.yaml"):
+        assert load(str(path)).says
+    run = play(small(), "as it is", 1)
+    kept = Kept(1, "small", (run,))
+    keep(kept, str(tmp_path / "runs.json"))
+    assert read_kept(str(tmp_path / "runs.json")) == kept and kept.of("as it is") == {1: run.figures}
+    (tmp_path / "bad.json").write_text("{")
+    with pytest.raises(ValueError, match=r"bad\.json"):
+        read_kept(str(tmp_path / "bad.json"))
+
+
+def test_faults_of_an_experiment_are_told_with_line_and_key() -> None:
+    text = SMALL + "faults:\n  - {at: -1, kind: flood}\nvariants:\n  - {name: a, settings: {speed: 2}}\n"
+    with pytest.raises(OperatorError) as caught:
+        read_struct(text, "x.yaml", Experiment)
+    told = "\n".join(caught.value.faults)
+    for part in ("x.yaml:12: faults.0.at", "faults.0.kind", "variants.0", "no such setting: speed"):
+        assert part in told, told
+    with pytest.raises(OperatorError, match="classes: is missing"):
+        read_struct("name: x\n", "x.yaml", Experiment)
+
+
+def test_verdicts_need_pairs_and_an_interval_that_leaves_nothing_open() -> None:
+    chance = random.Random(4)
+    base = {seed: chance.random() for seed in range(12)}
+    shifted = {seed: value + 0.05 + chance.random() / 50 for seed, value in base.items()}
+    noisy = {seed: value + chance.uniform(-0.1, 0.1) for seed, value in base.items()}
+    assert compare(base, shifted).verdict is Verdict.BETTER
+    assert compare(base, shifted, more_is_better=False).verdict is Verdict.WORSE
+    assert compare(shifted, base).verdict is Verdict.WORSE
+    assert compare(base, noisy).verdict is Verdict.SAME and compare(base, base).verdict is Verdict.SAME
+    assert compare({1: 0.0, 2: 0.0}, {1: 1.0, 2: 1.0}).verdict is Verdict.SAME  # two pairs tell nothing
+    d = compare(base, shifted)
+    assert d.low <= d.mean <= d.high and d == compare(base, shifted)
+    with pytest.raises(ValueError, match="no seed"):
+        compare({1: 0.0}, {2: 0.0})
