--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -1,14 +1,17 @@
 """A client connection: FastCGI in, answers out; the shop that all use; and the listener that accepts them.
 
-A connection is an actor without a task. Its turn is run by the loop: when bytes can be read, when an answer
-has come to its mailbox, when a timer is due. At rest it is its socket, a reader of the loop and a few words;
-everything else is in its Talk, made when bytes come and let go when nothing is left half read or owed.
+A connection is an actor without a task. Its turn is run by the loop: when bytes can be read, when
+an answer has come to its mailbox, when a timer is due. At rest it is its socket and a few words;
+everything else is in its Talk, made when bytes come and let go when nothing is left half read or
+owed. One epoll, itself a reader of the loop, watches all sockets: who wakes is told there once, and
+is read in turns.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+import select
 import socket
 from collections import deque
 from collections.abc import Callable, Hashable, Iterator
@@ -40,7 +43,8 @@
 ACCEPTS = 8  # new clients in a row
 SWEPT = 2000  # timers looked at in one sweep; what is left is due at the next
 ROW = 4  # reads of one connection in a row
-READS, WAKES = 64, 16  # connections read in one turn of the loop: at work, and such as rested for long
+READS, WAKES = 64, 4  # connections read in one turn of the loop: at work, and such as rested for long
+RUNG = 512  # of those that woke told of in one turn
 ACTIVE_FOR = 5 * clock.SECOND  # since bytes last came or went, for a connection to count as at work
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
@@ -69,6 +73,8 @@
         self.active: Turns[ClientConnection] = Turns(READS)
         self.waking: Turns[ClientConnection] = Turns(WAKES)
         self.turning = False
+        self.epoll: select.epoll | None = None  # made with the first connection
+        self.by_fd: dict[int, ClientConnection] = {}
         self.random = random.Random(means.config.seed)
 
     def follow(self, places: Places | None) -> None:
@@ -144,6 +150,26 @@
 
     # Turns of the loop
 
+    def watch(self, connection: ClientConnection) -> None:
+        """From now on who has something to read is told of it, once for all that is there."""
+        if self.epoll is None:
+            self.epoll = select.epoll()
+            asyncio.get_running_loop().add_reader(self.epoll.fileno(), self._rung)
+        self.by_fd[connection.sock.fileno()] = connection
+        self.epoll.register(connection.sock, select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET)
+
+    def unwatch(self, connection: ClientConnection) -> None:
+        if self.epoll is not None and self.by_fd.pop(connection.sock.fileno(), None) is not None:
+            self.epoll.unregister(connection.sock)
+
+    def _rung(self) -> None:
+        """A part of those that woke; the loop rings again where there are more."""
+        if self.epoll is not None:
+            for fd, _ in self.epoll.poll(0, RUNG):
+                connection = self.by_fd.get(fd)
+                if connection is not None:
+                    connection.ready()
+
     def may_read(self, connection: ClientConnection) -> bool:
         """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
         self._turn_comes()
@@ -170,7 +196,6 @@
 
     def _turn(self) -> None:
         for connection in self.active.turn() + self.waking.turn():
-            connection.resume()
             connection.receive()
         if waiting := len(self.active.line) + len(self.waking.line):
             self.checks.count("reads that waited for a turn", waiting)
@@ -247,8 +272,8 @@
 
 class ClientConnection:
     __slots__ = (
-        "asked", "closed", "closing", "closing_at", "deaf", "ending", "faults", "held", "moved", "reading",
-        "shop", "since", "sock", "stirred", "talk", "timer", "writer",
+        "asked", "closed", "closing", "closing_at", "deaf", "ending", "faults", "held", "moved",
+        "queued_at", "reading", "shop", "since", "sock", "stirred", "talk", "timer", "writer",
     )  # fmt: skip
 
     def __init__(self, shop: Shop, sock: socket.socket) -> None:
@@ -260,10 +285,12 @@
         self.moved = clock.now()  # when bytes last went out or came in
         self.since = shop.patience.time
         self.held = self.faults = self.closing_at = 0
+        self.queued_at = 0  # since when it stands in line to be read
         self.timer: Timer[tuple[ClientConnection, bool]] | None = None
 
     def start(self) -> None:
-        self.resume()
+        self.reading = True
+        self.shop.watch(self)
         self._look_in(FIRST_WITHIN)
 
     @property
@@ -345,15 +372,14 @@
     # Coming and going
 
     def resume(self) -> None:
-        """Read when there is something to read."""
+        """Read again, what came meanwhile too."""
         if not (self.reading or self.closed or self.deaf):
             self.reading = True
-            asyncio.get_running_loop().add_reader(self.sock, self._readable)
+            self.shop.read_on(self)
 
     def _pause(self) -> None:
-        if self.reading:
-            self.reading = False
-            asyncio.get_running_loop().remove_reader(self.sock)
+        self.reading = False
+        self.shop.leave_line(self)
 
     def cancel(self) -> None:
         self.close()
@@ -365,7 +391,7 @@
         self.closed = True
         self._pause()
         shop, talk = self.shop, self.talk
-        shop.leave_line(self)
+        shop.unwatch(self)
         if self.timer is not None:
             shop.wheel.cancel(self.timer)
             self.timer = None
@@ -427,16 +453,19 @@
 
     # In
 
-    def _readable(self) -> None:
+    def ready(self) -> None:
+        """There is something to read: now, or as its turn comes. What is paused looks as it resumes."""
+        if not self.reading:
+            return
         if self.shop.may_read(self):
             self.receive()
         else:
-            self._pause()
+            self.queued_at = self.queued_at or clock.now()
 
     def receive(self) -> None:
         """Read and take what came; what goes wrong ends this connection alone.
 
-        Until nothing is left: the loop stops looking at a socket that was reset with bytes unread.
+        Until nothing is left, since it is told once of all that is there.
         """
         try:
             for _ in range(ROW):
@@ -448,10 +477,9 @@
                     return
                 self._received(size)
             if self.reading:
-                self._pause()
                 self.shop.read_on(self)
         except (BlockingIOError, InterruptedError):
-            return
+            self.queued_at = 0
         except ProtocolError as error:
             self.shop.checks.event("client breaks FastCGI", str(error))
             self.close()
@@ -463,8 +491,9 @@
             self.close()
 
     def _received(self, size: int) -> None:
-        at, faults, shop = clock.now(), self.faults, self.shop
-        self.moved = at
+        now, faults, shop = clock.now(), self.faults, self.shop
+        at, self.queued_at = self.queued_at or now, 0  # what stood in line was there before: its time counts
+        self.moved = now
         talk = self.talk
         if talk is None:
             talk = self.talk = Talk(shop.descriptors.clients_most)
@@ -485,7 +514,7 @@
             shop.hold(self, held)
             if self.closed:
                 return
-        if self._half(talk, shop.patience.read(at)):
+        if self._half(talk, shop.patience.read(now)):
             self._look_in(WHOLE_WITHIN)
         if self.deaf:
             self._pause()
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -134,6 +134,24 @@
     on_loop(scenario)
 
 
+def test_the_time_that_a_request_stood_in_line_counts() -> None:
+    async def scenario() -> None:
+        shop = make_shop()
+        peers = [Peer(shop) for _ in range(3 * READS)]
+        await asyncio.sleep(0)
+        for peer in peers:
+            peer.sock.send(call(1, params("1" * 16)))
+        await until(lambda: len(shop.module.last) == len(peers), "all are read")
+        came = [message.request.came for message in shop.module.last if isinstance(message, Came)]
+        assert max(came) - min(came) < clock.now() - min(came)  # those read last were there before
+        first, last = came[READS - 1], came[READS:]
+        assert sum(at < first + (clock.now() - first) // 2 for at in last) > READS
+        for peer in peers:
+            peer.connection.close()
+
+    on_loop(scenario)
+
+
 def test_wake_and_close_in_one_turn_and_half_of_all_closing_at_once() -> None:
     async def scenario() -> None:
         shop = make_shop()
