--- a/bench/addresses.py
+++ b/bench/addresses.py
@@ -32,8 +32,8 @@
 from loguru import logger  # noqa: E402
 
 from quincepier.addresses import parse_term  # noqa: E402
+from quincepier.lab.scripted import Machine, Moment, Script  # noqa: E402
 from tests.addresskit import SAFE, Inside, play  # noqa: E402
-from tests.scripted import Machine, Moment, Script  # noqa: E402
 
 HIGHEST = 10_000_000  # microseconds
 GATE = 10  # requests at once: below the module's gate on fills, so that none is held or refused
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -35,6 +35,7 @@
 from docopt import docopt  # noqa: E402
 from hdrh.histogram import HdrHistogram  # noqa: E402
 
+from bench.measure import cpu_of, resident_of  # noqa: E402
 from tests.fcgikit import call  # noqa: E402
 from tests.standins import Asked, Cache, Client, Front  # noqa: E402
 
@@ -48,15 +49,6 @@
     asked.data(b"x" * 2000)
 
 
-def cpu_of(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_of(pid: int) -> int:
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 def kernel_memory() -> int:
     """Bytes of slab, as far as the system tells: sockets and what polls them are in it."""
     for line in Path("/proc/meminfo").read_text().splitlines():
--- a/bench/off.py
+++ b/bench/off.py
@@ -27,6 +27,7 @@
 
 from docopt import docopt  # noqa: E402
 
+from bench.measure import cpu_of, resident_of  # noqa: E402
 from tests.standins import Asked, Cache, Client, Front  # noqa: E402
 
 CONNECTIONS, OPEN_EACH = 16, 8
@@ -37,17 +38,6 @@
     asked.data(b"x" * 2000)
 
 
-def cpu_of(pid: int) -> float:
-    """Seconds of CPU that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_of(pid: int) -> int:
-    """KiB that a process has resident."""
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") // 1024
-
-
 async def ask(client: Client, first: int, count: int) -> None:
     for at in range(first, first + count, OPEN_EACH):
         batch = range(at, min(at + OPEN_EACH, first + count))
@@ -71,11 +61,11 @@
             os.sched_setaffinity(pid, {CORE})
             os.sched_setaffinity(0, set(range(os.cpu_count() or 1)) - {CORE} or {CORE})
             await asyncio.sleep(0.3)
-            start, memory = cpu_of(pid), resident_of(pid)
+            start, memory = cpu_of(pid), resident_of(pid) // 1024
             clients = [await front.client() for _ in range(CONNECTIONS)]
             each = requests // CONNECTIONS
             await asyncio.gather(*(ask(c, n * each, each) for n, c in enumerate(clients)))
-            return (cpu_of(pid) - start) / (each * CONNECTIONS) * 1e6, memory, resident_of(pid)
+            return (cpu_of(pid) - start) / (each * CONNECTIONS) * 1e6, memory, resident_of(pid) // 1024
         finally:
             await front.stop()
 
--- a/tests/addresskit.py
+++ b/tests/addresskit.py
@@ -14,6 +14,7 @@
 from quincepier.addresses.section import AddressesSection, Aside, Dials, Stagger
 from quincepier.checks import Checks
 from quincepier.config import FrontConfig, read_front
+from quincepier.lab.scripted import Machine
 from quincepier.memory.budget import Budget
 from quincepier.memory.pool import BufferPool
 from quincepier.memory.requests import OpenRequest
@@ -24,7 +25,6 @@
 from quincepier.net.sockets import Descriptors
 from quincepier.wire.changelog import BadRecord, read_changes
 from tests.frontkit import Inbox, host, open_request, raw_config
-from tests.scripted import Machine
 from tests.standins import until
 
 BUDGET = Budget(buffers=4000, bodies=1 << 24, requests=8192)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -16,9 +16,9 @@
 
 from quincepier.addresses import Family
 from quincepier.addresses.section import AddressesSection
+from quincepier.lab.scripted import Machine
 from quincepier.operator import SECTIONS, LogSection, OperatorError, load, read
 from tests.frontkit import raw_config
-from tests.scripted import Machine
 from tests.standins import Asked, Cache, Front, until
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "operator.yaml"
