Sizes learned, parents asked for what they hold while fills rest, keys weighed by pace

A trace of each given-up request (reason, bound, rest, parents that may be asked) showed nearly all of them at fill_at (full, send): every front rested up to 4 s between fills, and eased by two fifths a served one. Ruled out: the bound (fills out 0 of 4), suspicion (none set aside), reports. On lists with no sizes all were 1: cold parents gave next to nothing. Change: a resting front's fills ask the parent for what it holds only; what it lacks is fetched once a rest, so only the origin's own answers ease it. A source that refuses even that is set aside. Sizes of a kind are what its machines were seen to bear while all are up and warm. Pace is a mean of logarithms against the usual time of the class, also of attempts called off late; it weighs the hash order of caches and parents in place of steering at twice as slow. Reports of what a cache holds go: no deployment that runs on has them.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -22,12 +22,14 @@
 BOUND_START, BOUND_MOST = 16, 256  # fills in flight: at the start (design), doubled
 BOUND_LEAST, BOUND_EACH = 12, 4  # halved: of a zone's fronts together, but of each so many, which add up
 BAD_SHARE = 0.25  # the bound steps after a bound's worth of fills: down if more than this part went badly
-REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 4 * SECOND, 0.6  # between fills, doubled by a refused one
+REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 2 * SECOND, 0.3  # between fills, doubled by a refused one
 GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
-PACE_NEW, PACE_FADE = 0.3, 2 * SECOND  # weight of a sign of how slow a machine is; it fades by half in
-PACE_GUESS = 4.0  # most that a hit of untold size says of it, at half the weight: large objects look slow
+PACE_FADE, PACE_PRIOR = 4 * SECOND, 1.5  # signs of how slow a machine is count half after; of it as usual
+PACE_EASY = 1.5  # times as slow as the best of its kind at which a machine keeps its part of the keys
+LINK_FADE = 2 * SECOND  # what was told of a link counts half after
+USUAL_LEAST, USUAL_RISE = 20, 0.01 / SECOND  # answers before the least of their mean counts; how it forgets
 HOLD_PART, HOLD_SCAN = 0.15, 16  # longest hold, as part of the wanted time; held objects looked through
 TURN_PART = 0.2  # of the wanted time, over 1 + tier: how long a busy front may keep a request from its turn
 SPARE = 0.5  # part of the bound that must be free for a fill at a second cache, as that is one more copy
@@ -39,6 +41,7 @@
 COLD_SAFETY = 0.6  # part of a cold budget that is earned: sizes are rough, and each front may overdraw
 COLD_BURST = 0.25  # part of a window's earnings that may be saved up
 MORE_ATTEMPTS, EXTRA_SHARE, EXTRA_MOST = 3, 0.2, 40.0  # a request's further ones; earned by a first; saved up
+BORNE_FADE, BORNE_LEAST = 15 * SECOND, 3 * SECOND  # served work counts half in; a front's first signs
 WORK_NEW = 0.02  # least weight of a new answer in the mean sending time of a class; first all count alike
 MEMORY_MOST = 4096  # entries of any memory that requests fill; the oldest go first
 LOGS_MOST = 40  # log lines of one run
@@ -66,12 +69,12 @@
 
 class Node:
     def __init__(self, member: io.Member) -> None:
-        self.member, self.size = member, max(member.size, 0.01)
+        self.member = member
         self.cold_at = member.up_since  # when it last started, as told or as guessed from its failing
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
         self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
-        self.slowed, self.slowed_at = 1.0, 0  # how many times slower than alone it was seen to send, and when
+        self.slowed, self.signs, self.slowed_at = 0.0, 0.0, 0  # how slow it was seen, of how many signs, when
         self.out: dict[tuple[int, int], Attempt] = {}
         self.recent: deque[int] = deque(maxlen=HOT_OF)  # objects last asked for
 
@@ -79,7 +82,8 @@
 class Attempt:
     def __init__(self, req: Request, no: int, at: int, node: Node, source: Node | None) -> None:
         self.req, self.no, self.at, self.node, self.source = req, no, at, node, source
-        self.fill, self.look, self.work = False, False, 0.0  # work as booked to cold machines
+        self.fill, self.look, self.held = False, False, False
+        self.work = 0.0  # as booked to cold machines
 
 
 class Request:
@@ -101,9 +105,10 @@
         self.tiers = [place.get(c.worth, 0) for c in settings.classes]
         self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
         self.samples = Counter[int]()
+        self.usual = dict[tuple[int, bool], tuple[float, int, float, int]]()  # see compare
         self.nodes: dict[int, Node] = {}
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
-        self.ranks: dict[int, list[Node]] = {}
+        self.ranks: dict[int, list[tuple[float, Node]]] = {}
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
@@ -111,6 +116,8 @@
         self.least = max(BOUND_LEAST // max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1), BOUND_EACH)
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, now  # what fills wait for; see full
+        self.born, self.sizes = now, dict[int, float]()  # when this front began, and sizes by kind; see weigh
+        self.borne = dict[int, tuple[float, int]]()
         self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
         self.extra, self.logs, self.awake, self.watching, self.watched = EXTRA_MOST, 0, False, False, now
         self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
@@ -158,7 +165,7 @@
                     node.cold_at = max(node.cold_at, m.up_since)
                     node.suspect = False
                 moved = moved or m.size != node.member.size
-                node.member, node.size = m, max(m.size, 0.01)
+                node.member = m
         if moved:
             self.ranks, nodes = {}, self.nodes.values()
             self.parents = [n for n in nodes if n.member.kind == s.parent_kind]
@@ -209,26 +216,36 @@
     def rank(self, nodes: list[Node], key: int) -> list[Node]:
         """The nodes by a hash of the key, each first for a part of the keys that follows its size."""
         if key not in self.ranks:  # kept until the list changes: a held request is looked at often
-            weigh, self.ranks = self.s.sizes_compare, self.ranks if len(self.ranks) < MEMORY_MOST else {}
-            draws = {n: math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
-            self.ranks[key] = sorted(nodes, key=lambda n: -draws[n] / (n.size if weigh else 1.0))
-        return self.ranks[key]
+            self.ranks = self.ranks if len(self.ranks) < MEMORY_MOST else {}
+            weigh = self.s.sizes_compare and all(n.member.size > 0 for n in nodes)
+            draws = {n: -math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
+            self.ranks[key] = [(draws[n] / (n.member.size if weigh else 1.0), n) for n in nodes]
+        paces = {n: self.pace(n) for n in nodes}
+        easy = PACE_EASY * min(paces.values(), default=1.0)
+        order = sorted(self.ranks[key], key=lambda d: d[0] * max(paces[d[1]] / easy, 1.0) ** 2)
+        return [n for _, n in order]
 
     def usable(self, node: Node, req: Request) -> bool:
         ready = node.member.state is CacheState.READY and node not in req.avoid
         return ready and (not node.suspect or self.now >= node.trial_at) and self.room(node)
 
+    def warm(self, node: Node) -> bool:
+        s, kind = self.s, node.member.kind
+        span = s.parent_cold_time if kind == s.parent_kind else s.cold_time
+        # a window has what it began with
+        return node.cold_at == 0 or self.now - node.cold_at - s.cold_window >= span or kind == s.origin_kind
+
     def room(self, node: Node) -> bool:
         """Whether a machine that started lately may be asked (rule four): credit by time, by turns."""
-        s, kind = self.s, node.member.kind
+        if self.warm(node):
+            return True
+        s = self.s
         least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
-        if kind == s.parent_kind:
+        if node.member.kind == s.parent_kind:
             least, multiple, warm = s.parent_cold_from, s.parent_cold_multiple, s.parent_cold_time
-        age = self.now - node.cold_at - s.cold_window  # a window has what it began with
-        if node.cold_at == 0 or age >= warm or kind == s.origin_kind:
-            return True
+        age = self.now - node.cold_at - s.cold_window
         share = least + (1 - least) * max(age, 0) / max(warm, 1)
-        rate = COLD_SAFETY * multiple * share * node.size / self.sharers(node)
+        rate = COLD_SAFETY * multiple * share * self.size(node) / self.sharers(node)
         if node.paid < node.cold_at:
             node.paid, node.credit = self.now, -self.random.random() * max(self.work)
         saved = node.credit + rate * (self.now - node.paid)
@@ -240,8 +257,6 @@
         good = list(islice((n for n in self.rank(self.edges, req.key) if self.usable(n, req)), 2))
         if len(good) > 1 and good[0].recent.count(req.e.object) > HOT_SHARE * HOT_OF:
             return min(good, key=lambda n: len(n.out))
-        if len(good) > 1 and self.pace(good[0]) > max(self.stands(req), 2 * self.pace(good[1])):
-            return good[1]  # the first would be late: overloaded alone, or growing slow
         return good[0] if good else None
 
     def source(self, req: Request) -> Node | None:
@@ -266,18 +281,37 @@
         else:
             self.give_up(req)
 
+    def size(self, node: Node) -> float:
+        """A machine's link in transfers at a client's pace: as listed, else as its kind was seen to bear."""
+        listed = self.s.sizes_compare and node.member.size > 0
+        return node.member.size if listed else self.sizes.get(node.member.kind, 1.0)
+
+    def weigh(self) -> None:
+        """Learn from work served by the machines of a kind while all of them are up and warm: no more than
+        they can do, as one that is new may be asked for little by each of many fronts, and all add up."""
+        for kind, (work, at) in self.borne.items():
+            alike = [n for n in self.nodes.values() if n.member.kind == kind]
+            work *= math.exp2((at - self.now) / BORNE_FADE)
+            span = BORNE_FADE / math.log(2) * (1 - math.exp2((self.born - self.now) / BORNE_FADE))
+            self.borne[kind] = (work, self.now)
+            if alike and not any(n.suspect or not self.warm(n) for n in alike):
+                whole = work / (span + BORNE_LEAST) * self.sharers(alike[0]) / len(alike)
+                self.sizes[kind] = max(whole, 1.0)
+
     def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
         n = self.sharers(node)  # the more fronts act on the same signs, the more room is left
         late = self.pace(node) * self.work_of(req) > (CROWD + (1 - CROWD) / n) * self.aim(req)
-        return self.s.sizes_compare and (late or len(node.out) + 1 > max(self.stands(req) * node.size / n, 2))
+        listed = self.s.sizes_compare and node.member.size > 0  # what a kind was seen to bear is no limit
+        return late or listed and len(node.out) + 1 > max(self.stands(req) * node.member.size / n, 2)
 
     def stands(self, req: Request) -> float:
         return CROWD * self.aim(req) / self.work_of(req)
 
     def pace(self, node: Node) -> float:
-        """How many times slower than alone a machine sends, by its last hits and by what it holds."""
-        return 1 + (node.slowed - 1) * math.exp2((node.slowed_at - self.now) / PACE_FADE)
+        """How many times slower than usual a machine sends, by its last answers."""
+        fade = math.exp2((node.slowed_at - self.now) / PACE_FADE)
+        return math.exp(max(node.slowed * fade / (node.signs * fade + PACE_PRIOR), 0.0))
 
     def sharers(self, node: Node) -> int:
         zones, m = self.s.fronts_by_zone, node.member  # parents stand in hubs, and all fronts reach them
@@ -291,8 +325,8 @@
 
     def full(self, req: Request) -> bool:
         """Whether a fill must wait: for the bound, after refusals, for the zone's link if that is told."""
-        link = self.link * math.exp2((self.link_at - self.now) / PACE_FADE)
-        return self.fills >= self.bound or self.now < self.fill_at or link * self.work_of(req) > self.aim(req)
+        link = self.link * math.exp2((self.link_at - self.now) / LINK_FADE)
+        return self.fills >= self.bound or link * self.work_of(req) > self.aim(req)
 
     def known(self, node: Node, req: Request) -> bool:
         return self.now - self.hits.get((node.member.cache, req.key), self.now - HIT_MEMORY) < HIT_MEMORY
@@ -318,7 +352,7 @@
             age = min(age or cls.fresh or since, since)
         return age
 
-    def send(self, req: Request, node: Node, source: Node | None) -> None:
+    def send(self, req: Request, node: Node, source: Node | None, anew: bool = False) -> None:
         e, now = req.e, self.now
         if req.sent >= self.s.attempts or not self.harmless(req, node) or req.deadline - now <= self.s.step:
             self.give_up(req)
@@ -329,7 +363,8 @@
         req.open[req.sent] = self.attempts[e.request, req.sent] = attempt
         req.sent += 1
         self.fills, attempt.work = self.fills + attempt.fill, self.work[e.cls]
-        self.fill_at = now + int(self.rest) if attempt.fill else self.fill_at
+        # while fills rest the parents give what they hold; what they lack is asked for once a rest
+        attempt.held = only = attempt.fill and source is not None and self.rest > 0 and not anew
         node.recent.append(e.object)
         for machine in filter(None, (node, attempt.source)):
             machine.credit -= attempt.work
@@ -342,7 +377,7 @@
         else:
             to, by, fills, age = node.member.cache, source.member.cache, not look, self.oldest(req, look)
             join, renew = self.s.joins and fills, req.cls.fresh > 0 and fills
-            self.out.append(io.Fetch(e.request, to, req.deadline - now, by, 1, age, join, renew, False))
+            self.out.append(io.Fetch(e.request, to, req.deadline - now, by, 1, age, join, renew, only))
         self.wake()
 
     def harmless(self, req: Request, node: Node) -> bool:
@@ -383,6 +418,13 @@
     def again(self, req: Request, attempt: Attempt, e: io.AttemptEnded) -> None:
         """After an attempt that served nothing: another one, while it can help and what ran allows it."""
         node, source = attempt.node, attempt.source
+        if attempt.held and e.ending is Ending.MISS and source is not None:
+            if self.now >= self.fill_at and self.usable(node, req) and self.usable(source, req):
+                self.fill_at = self.now + int(self.rest)
+                self.send(req, node, source, True)
+            else:
+                self.give_up(req)
+            return
         blamed = e.ending is not Ending.MOOT and not e.another_way  # else the machine itself is not at fault
         req.avoid += [source or node] if e.note in SOURCE_FAULTS else [node] * blamed
         if source is not None and e.note is Note.NONE and e.ending in (Ending.FULL, Ending.TIMEOUT):
@@ -404,30 +446,33 @@
         if source is not None:
             if e.note in (Note.SOURCE_BROKEN, Note.SOURCE_REFUSED):  # a dead process refuses, a full one too
                 self.distrust(source, "broken as source", LOST_LEAST / (1 + (e.note == Note.SOURCE_REFUSED)))
-            elif e.ending is Ending.OK and e.note in (Note.FILLED, Note.FROM_ORIGIN):
+            elif attempt.held and e.ending is Ending.FULL and e.note is Note.NONE:
+                self.distrust(source, "gives nothing", LOST_LEAST / 2)  # it was asked for what it holds alone
+            elif e.ending is (Ending.MISS if attempt.held else Ending.OK) and not from_cache:
                 self.trust(source)
             source.credit += attempt.work * from_cache  # it was not asked
+        for machine in (node, source) if e.ending is Ending.OK else ():
+            if machine is not None and (machine is node or not from_cache):
+                work, at = self.borne.get(kind := machine.member.kind, (0.0, self.now))
+                self.borne[kind] = (work * math.exp2((at - self.now) / BORNE_FADE) + attempt.work, self.now)
         reported = dict(zip(self.s.reports, e.report, strict=False))
         if node.member.zone == self.s.zone and "link" in reported:
             self.link, self.link_at = reported["link"], self.now
-        told = reported.get("in flight", 0.0) / node.size
-        own, sure = e.elapsed / self.work_of(attempt.req) * from_cache, told > 0 or attempt.req.told > 0
-        if (seen := max(told, own if sure else min(own, PACE_GUESS))) > 0:
-            new = PACE_NEW if sure else PACE_NEW / 2
-            node.slowed, node.slowed_at = (1 - new) * self.pace(node) + new * max(seen, 1.0), self.now
+        self.compare(attempt, e, from_cache)
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now, self.now - HIT_MEMORY)
-            slowed = (len(node.out) + 1) * self.sharers(node) / node.size if self.s.sizes_compare else 1.0
-            own = attempt.req.told or e.elapsed / max(slowed, 1.0)  # a full link is shared
+            slowed = (len(node.out) + 1) * self.sharers(node) / self.size(node)
+            own = attempt.req.told or e.elapsed / max(slowed if self.s.sizes_compare else 1.0, 1.0)  # shared
             self.samples[n := attempt.req.e.cls] += 1
             self.work[n] += max(WORK_NEW, 1 / self.samples[n]) * (own - self.work[n])
         if attempt.fill:
             self.fills -= 1
-            if e.ending is Ending.FULL and e.note not in (Note.SOURCE_BROKEN, Note.SOURCE_LACKS):  # at once
+            alone = attempt.held or e.note in (Note.SOURCE_BROKEN, Note.SOURCE_LACKS)  # not the origin's word
+            if e.ending is Ending.FULL and not alone:  # at once
                 self.rest = min(max(2 * self.rest, REST_LEAST), REST_MOST)
                 self.fill_at = self.now + int(self.random.uniform(0.5, 1.5) * self.rest)
-            elif e.ending is Ending.OK and not from_cache:
-                self.rest *= REST_EASE
+            elif e.ending is Ending.OK and not from_cache and not attempt.held:
+                self.rest = self.rest * REST_EASE if self.rest > REST_LEAST / 2 else 0.0
             slow = e.waited > attempt.req.cls.on_time or e.elapsed > self.aim(attempt.req) * self.pace(node)
             bad = e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache)
             self.bad += bad  # so is one called off at its deadline
@@ -439,6 +484,26 @@
                     self.bound = min(self.bound * 2, BOUND_MOST)
                 self.good = self.bad = 0
 
+    def compare(self, attempt: Attempt, e: io.AttemptEnded, from_cache: bool) -> None:
+        """What the time of an answer says of who gave it, against the usual one of its class."""
+        late, key = e.elapsed > self.aim(attempt.req), (attempt.req.e.cls, not attempt.fill or from_cache)
+        if e.ending is not Ending.OK and not (late and e.ending in (Ending.CANCELLED, Ending.TIMEOUT)):
+            return
+        mean, n, least, at = self.usual.get(key, (0.0, 0, 0.0, self.now))
+        seen = math.log(max(e.elapsed, 1) / (attempt.req.told or MS))
+        if e.ending is Ending.OK:
+            mean, n = mean + (seen - mean) * max(WORK_NEW, 1 / (n + 1)), n + 1
+            least = min(least + USUAL_RISE * (self.now - at), mean) if n > USUAL_LEAST else mean
+            self.usual[key] = (mean, n, least, self.now)
+        elif n == 0 or seen < least:
+            return
+        filled = attempt.source if attempt.fill and not from_cache else None
+        seen -= least  # what ended without an answer may be either's fault
+        for node in filter(None, (filled, attempt.node if not (filled and e.ending is Ending.OK) else None)):
+            fade = math.exp2((node.slowed_at - self.now) / PACE_FADE)
+            node.slowed, node.signs = node.slowed * fade + seen, node.signs * fade + 1
+            node.slowed_at = self.now
+
     def trust(self, node: Node) -> None:
         node.heard, node.failed = self.now, 0
         if node.suspect:
@@ -464,6 +529,7 @@
 
     def watch(self) -> None:
         late, self.watching = Counter[Node](), False
+        self.weigh()
         for a in self.attempts.values():  # the oldest first
             if a.at > self.now - SECOND or self.now - self.watched > WATCH_EVERY:  # answers are still to come
                 break
