Fills wait by their own pace where nothing tells of the zone's link

Ruled out: the origin (its waits under 250 ms), parents (late alike, 40 to 44%). At fault: full() knows the link only from reports, and there are none; a least bound of four each. Change: what all fills of a front took, against the usual, stands in for the link's report; the more fronts act on it, the earlier (0.35 of what the class stands for many, all of it for one).

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -29,6 +29,7 @@
 PACE_FADE, PACE_PRIOR = 4 * SECOND, 1.5  # signs of how slow a machine is count half after; of it as usual
 PACE_EASY = 1.5  # times as slow as the best of its kind at which a machine keeps its part of the keys
 LINK_FADE = 2 * SECOND  # what was told of a link counts half after
+LINK_PART = 0.35  # of the slowing a class stands, where only fills tell of the link to many fronts at once
 USUAL_LEAST, USUAL_RISE = 20, 0.01 / SECOND  # answers before the least of their mean counts; how it forgets
 HOLD_PART, HOLD_SCAN = 0.15, 16  # longest hold, as part of the wanted time; held objects looked through
 TURN_PART = 0.2  # of the wanted time, over 1 + tier: how long a busy front may keep a request from its turn
@@ -67,6 +68,21 @@
         memory.popitem(last=False)
 
 
+class Pace:
+    """How many times slower than usual something was lately; with no signs of it, as usual."""
+
+    def __init__(self) -> None:
+        self.slowed, self.signs, self.at = 0.0, 0.0, 0  # sum and number of signs, when they were up to date
+
+    def sign(self, now: int, slowed: float) -> None:
+        fade = math.exp2((self.at - now) / PACE_FADE)
+        self.slowed, self.signs, self.at = self.slowed * fade + slowed, self.signs * fade + 1, now
+
+    def times(self, now: int) -> float:
+        fade = math.exp2((self.at - now) / PACE_FADE)
+        return math.exp(max(self.slowed * fade / (self.signs * fade + PACE_PRIOR), 0.0))
+
+
 class Node:
     def __init__(self, member: io.Member) -> None:
         self.member = member
@@ -74,7 +90,7 @@
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
         self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
-        self.slowed, self.signs, self.slowed_at = 0.0, 0.0, 0  # how slow it was seen, of how many signs, when
+        self.pace = Pace()
         self.out: dict[tuple[int, int], Attempt] = {}
         self.recent: deque[int] = deque(maxlen=HOT_OF)  # objects last asked for
 
@@ -115,6 +131,7 @@
         self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
         self.least = max(BOUND_LEAST // max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1), BOUND_EACH)
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
+        self.fetch = Pace()  # of all fills, through the zone's link
         self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, now  # what fills wait for; see full
         self.born, self.sizes = now, dict[int, float]()  # when this front began, and sizes by kind; see weigh
         self.borne = dict[int, tuple[float, int]]()
@@ -220,7 +237,7 @@
             weigh = self.s.sizes_compare and all(n.member.size > 0 for n in nodes)
             draws = {n: -math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
             self.ranks[key] = [(draws[n] / (n.member.size if weigh else 1.0), n) for n in nodes]
-        paces = {n: self.pace(n) for n in nodes}
+        paces = {n: n.pace.times(self.now) for n in nodes}
         easy = PACE_EASY * min(paces.values(), default=1.0)
         order = sorted(self.ranks[key], key=lambda d: d[0] * max(paces[d[1]] / easy, 1.0) ** 2)
         return [n for _, n in order]
@@ -301,18 +318,13 @@
     def crowded(self, node: Node, req: Request) -> bool:
         """Whether so much of ours is in flight at a cache that one more of this class would come late."""
         n = self.sharers(node)  # the more fronts act on the same signs, the more room is left
-        late = self.pace(node) * self.work_of(req) > (CROWD + (1 - CROWD) / n) * self.aim(req)
+        late = node.pace.times(self.now) * self.work_of(req) > (CROWD + (1 - CROWD) / n) * self.aim(req)
         listed = self.s.sizes_compare and node.member.size > 0  # what a kind was seen to bear is no limit
         return late or listed and len(node.out) + 1 > max(self.stands(req) * node.member.size / n, 2)
 
     def stands(self, req: Request) -> float:
         return CROWD * self.aim(req) / self.work_of(req)
 
-    def pace(self, node: Node) -> float:
-        """How many times slower than usual a machine sends, by its last answers."""
-        fade = math.exp2((node.slowed_at - self.now) / PACE_FADE)
-        return math.exp(max(node.slowed * fade / (node.signs * fade + PACE_PRIOR), 0.0))
-
     def sharers(self, node: Node) -> int:
         zones, m = self.s.fronts_by_zone, node.member  # parents stand in hubs, and all fronts reach them
         return (m.zone < len(zones) and zones[m.zone]) or max(self.s.fronts, 1)
@@ -324,8 +336,11 @@
         self.wake()
 
     def full(self, req: Request) -> bool:
-        """Whether a fill must wait: for the bound, after refusals, for the zone's link if that is told."""
+        """Whether a fill must wait: for the bound, or for the zone's link, as told or as fills show it."""
         link = self.link * math.exp2((self.link_at - self.now) / LINK_FADE)
+        if "link" not in self.s.reports:
+            n = max(*self.s.fronts_by_zone[self.s.zone :][:1], 0, 1)  # as many act on what all see
+            link = self.fetch.times(self.now) / (LINK_PART + (1 - LINK_PART) / n)
         return self.fills >= self.bound or link * self.work_of(req) > self.aim(req)
 
     def known(self, node: Node, req: Request) -> bool:
@@ -473,7 +488,8 @@
                 self.fill_at = self.now + int(self.random.uniform(0.5, 1.5) * self.rest)
             elif e.ending is Ending.OK and not from_cache and not attempt.held:
                 self.rest = self.rest * REST_EASE if self.rest > REST_LEAST / 2 else 0.0
-            slow = e.waited > attempt.req.cls.on_time or e.elapsed > self.aim(attempt.req) * self.pace(node)
+            aim = self.aim(attempt.req) * node.pace.times(self.now)
+            slow = e.waited > attempt.req.cls.on_time or e.elapsed > aim
             bad = e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache)
             self.bad += bad  # so is one called off at its deadline
             self.good += e.ending is Ending.OK and not from_cache and not bad
@@ -500,9 +516,9 @@
         filled = attempt.source if attempt.fill and not from_cache else None
         seen -= least  # what ended without an answer may be either's fault
         for node in filter(None, (filled, attempt.node if not (filled and e.ending is Ending.OK) else None)):
-            fade = math.exp2((node.slowed_at - self.now) / PACE_FADE)
-            node.slowed, node.signs = node.slowed * fade + seen, node.signs * fade + 1
-            node.slowed_at = self.now
+            node.pace.sign(self.now, seen)
+        if filled:
+            self.fetch.sign(self.now, seen)
 
     def trust(self, node: Node) -> None:
         node.heard, node.failed = self.now, 0
