--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -27,7 +27,7 @@
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
 PACE_FADE, PACE_PRIOR = 4 * SECOND, 1.5  # signs of how slow a machine is count half after; of it as usual
-PACE_EASY = 1.5  # times as slow as the best of its kind at which a machine keeps its part of the keys
+PACE_EASY = 1.3  # times as slow as the best of its kind at which a machine keeps its part of the keys
 LINK_FADE = 2 * SECOND  # what was told of a link counts half after
 LINK_PART = 0.35  # of the slowing a class stands, where only fills tell of the link to many fronts at once
 USUAL_LEAST, USUAL_RISE = 20, 0.01 / SECOND  # answers before the least of their mean counts; how it forgets
@@ -90,7 +90,7 @@
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.suspect, self.trial_at, self.wait = False, 0, 0
         self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
-        self.pace = Pace()
+        self.pace, self.step = Pace(), 0  # its part of the keys is halved by two steps
         self.out: dict[tuple[int, int], Attempt] = {}
         self.recent: deque[int] = deque(maxlen=HOT_OF)  # objects last asked for
 
@@ -124,7 +124,7 @@
         self.usual = dict[tuple[int, bool], tuple[float, int, float, int]]()  # see compare
         self.nodes: dict[int, Node] = {}
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
-        self.ranks: dict[int, list[tuple[float, Node]]] = {}
+        self.ranks: dict[int, list[Node]] = {}
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
@@ -132,7 +132,7 @@
         self.least = max(BOUND_LEAST // max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1), BOUND_EACH)
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.fetch = Pace()  # of all fills, through the zone's link
-        self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, now  # what fills wait for; see full
+        self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, 0  # what fills wait for; see full
         self.born, self.sizes = now, dict[int, float]()  # when this front began, and sizes by kind; see weigh
         self.borne = dict[int, tuple[float, int]]()
         self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
@@ -236,11 +236,18 @@
             self.ranks = self.ranks if len(self.ranks) < MEMORY_MOST else {}
             weigh = self.s.sizes_compare and all(n.member.size > 0 for n in nodes)
             draws = {n: -math.log((mix(key, n.member.cache) + 1) / 2**64) for n in nodes}
-            self.ranks[key] = [(draws[n] / (n.member.size if weigh else 1.0), n) for n in nodes]
-        paces = {n: n.pace.times(self.now) for n in nodes}
-        easy = PACE_EASY * min(paces.values(), default=1.0)
-        order = sorted(self.ranks[key], key=lambda d: d[0] * max(paces[d[1]] / easy, 1.0) ** 2)
-        return [n for _, n in order]
+            parts = {n: (n.member.size if weigh else 1.0) / 2 ** (n.step / 2) for n in nodes}
+            self.ranks[key] = sorted(nodes, key=lambda n: draws[n] / parts[n])
+        return self.ranks[key]
+
+    def reweigh(self) -> None:
+        """A slow machine keeps its part of the keys by the square of its pace, in steps that orders outlast."""
+        for group in (self.edges, self.parents):
+            paces = [n.pace.times(self.now) for n in group]
+            easy = PACE_EASY * min(paces, default=1.0)
+            for node, pace in zip(group, paces, strict=True):
+                if (step := int(4 * math.log2(max(pace / easy, 1.0)))) != node.step:
+                    node.step, self.ranks = step, {}
 
     def usable(self, node: Node, req: Request) -> bool:
         ready = node.member.state is CacheState.READY and node not in req.avoid
@@ -338,7 +345,7 @@
     def full(self, req: Request) -> bool:
         """Whether a fill must wait: for the bound, or for the zone's link, as told or as fills show it."""
         link = self.link * math.exp2((self.link_at - self.now) / LINK_FADE)
-        if "link" not in self.s.reports:
+        if self.now - self.link_at > 2 * LINK_FADE:
             n = max(*self.s.fronts_by_zone[self.s.zone :][:1], 0, 1)  # as many act on what all see
             link = self.fetch.times(self.now) / (LINK_PART + (1 - LINK_PART) / n)
         return self.fills >= self.bound or link * self.work_of(req) > self.aim(req)
@@ -546,6 +553,7 @@
     def watch(self) -> None:
         late, self.watching = Counter[Node](), False
         self.weigh()
+        self.reweigh()
         for a in self.attempts.values():  # the oldest first
             if a.at > self.now - SECOND or self.now - self.watched > WATCH_EVERY:  # answers are still to come
                 break
--- a/tests/test_policy_mechanism.py
+++ b/tests/test_policy_mechanism.py
@@ -271,6 +271,7 @@
     for n in range(1000, 1000 + count):
         for sent in attempts(bench.ask(n, obj=n, size_kb=400.0)):
             slow = sent.cache == cache
+            bench.wait(5 * MS)
             bench.end(sent, Ending.OK, Note.HIT, elapsed=(1000 if slow else 100) * MS)
     taken = left = 0
     for n in range(40):
@@ -295,12 +296,12 @@
     bench, anew = Bench(), 0
     for n in range(400):
         for sent in attempts(bench.ask(n, obj=n)) + attempts(bench.wait(10 * MS)):
-            while isinstance(sent, io.Fetch) and sent.held_only:  # the parent lacks it
-                more = attempts(bench.end(sent, Ending.MISS))
-                sent = more[0] if more else None
-            if sent is not None:
-                anew += isinstance(sent, io.Fetch) and sent.source != sent.cache
-                bench.end(sent, Ending.FULL)
+            asked = [sent]
+            while asked and isinstance(last := asked.pop(), io.Fetch) and last.held_only:
+                asked = attempts(bench.end(last, Ending.MISS))  # the parent lacks it
+            if not (isinstance(last, io.Fetch) and last.held_only):
+                anew += isinstance(last, io.Fetch) and last.source != last.cache
+                bench.end(last, Ending.FULL)
     assert 0 < anew < 60
     assert bench.router.rest > SECOND
     bench.wait(10 * SECOND)
