--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -241,7 +241,7 @@
         return self.ranks[key]
 
     def reweigh(self) -> None:
-        """A slow machine keeps its part of the keys by the square of its pace, in steps that orders outlast."""
+        """A slow machine keeps its part of the keys by the square of its pace, in steps orders outlast."""
         for group in (self.edges, self.parents):
             paces = [n.pace.times(self.now) for n in group]
             easy = PACE_EASY * min(paces, default=1.0)
