--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -66,6 +66,12 @@
             raise SettingsError(f"settings hold {key}={value}, less than {least}")
         return value
 
+    def share(self, key: str, absent: str | None = None) -> float:
+        value = self.number(key, absent)
+        if not 0 <= value <= 1:
+            raise SettingsError(f"settings hold {key}={value:g}, not a share of 0 to 1")
+        return value
+
     def flag(self, key: str, absent: str | None = None) -> bool:
         text = self.text(key, absent)
         if text not in ("true", "false"):
@@ -135,11 +141,11 @@
         client_kb_per_s=c.number(info + "client_kb_per_s", "0"),
         sizes_compare=c.text("weights", "off") in ("nominal", "rough"),
         purge_settles=c.whole(info + "purge_settles", "0"),
-        cold_from=c.number("rules.cold_from"),
+        cold_from=c.share("rules.cold_from"),
         cold_multiple=c.number("rules.fall_multiple"),
         cold_window=c.whole("rules.tip_after"),
         cold_time=c.whole("rules.warm_within"),
-        parent_cold_from=c.number(info + "upper_cold_from", "1"),
+        parent_cold_from=c.share(info + "upper_cold_from", "1"),
         parent_cold_multiple=c.number(info + "upper_fall_multiple", "1"),
         parent_cold_time=c.whole(info + "upper_cold", "0"),
         list_on_request=c.text("registry_mode", "pushed") == "on_request",
@@ -275,6 +281,9 @@
     settings = read_settings(dict(lay_out(raw.value)))
     limits, site, report = keys.table("limits"), raw.table("limits"), raw.table("report")
     services = raw.take("services", "a list of classes", list)
+    on_probe = report.text("how") == "on_probe"
+    if on_probe and site.value.get("probes", True) is False:
+        raise SettingsError("configuration holds report.how=on_probe, but settings.limits.probes=false")
     last, events = _known(keys, judge)
     zones = raw.names("zones")
     if settings.zone >= len(zones):
@@ -291,7 +300,7 @@
         zones=zones,
         kinds=raw.names("skus"),
         report_fields=report.names("fields"),
-        report_on_probe=report.text("how") == "on_probe",
+        report_on_probe=on_probe,
         streams=int(site.number("multiplex", 1)),
         idle=int(site.number("conn_idle", 1)),
         dial_timeout=int(site.number("dial_timeout", 1)),
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -185,6 +185,8 @@
 
 def run(config: FrontConfig, path: str | None = None, operators: Operators | None = None) -> int:
     """The exit code: 0 after a drain, 1 where the address can't be had."""
+    # where hundreds of fronts are played an io_uring is refused; libuv reads this as its first loop begins
+    os.environ.setdefault("UV_USE_IO_URING", "0")
     import uvloop
 
     async def main() -> int:
--- a/quincepier/wire/changelog.py
+++ b/quincepier/wire/changelog.py
@@ -108,7 +108,7 @@
         kind=_take(record, "class", str),
         cell=_take(record, "block", int),
         state=STATES[state],
-        size=float(_take(record, "share", int, float)),
+        size=float(_take({"share": 0} | record, "share", int, float)),  # a list need not tell sizes
         born_ms=_take(record, "born_ms", int),
         dials=dials,
         faults=faults,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -53,6 +53,9 @@
     ("path", "value", "named"),
     [
         ("name", None, "name"),
+        ("settings.rules.cold_from", 1.5, "rules.cold_from"),
+        ("settings.family_info.upper_cold_from", -0.1, "upper_cold_from"),
+        ("settings.limits.probes", False, "report.how"),  # reports on probes, and no probes
         ("listen", "localhost", "listen"),
         ("listen", "127.0.0.1:70000", "listen"),
         ("changelog", None, "changelog"),
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,70 @@
+"""The deploy file as the platform uses it: `run` is one process, by exec, that starts no other."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.standins import Asked, Cache, Front, until
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+
+def test_run_is_one_exec_and_build_leaves_what_it_needs() -> None:
+    words = DEPLOY["run"].split()
+    assert words[0] == "exec" and words[1] == ".venv/bin/python" and words[-1] == "serve"
+    assert not set(DEPLOY["run"]) & set("|&;$()<>`")
+    assert "requirements.txt" in DEPLOY["build"] and DEPLOY["policy"] == ["quincepier/policy.py"]
+
+
+def test_the_module_keeps_to_its_lines() -> None:
+    """610 lines that are not blank, of 110 characters at most."""
+    lines = [line for path in DEPLOY["policy"] for line in (ROOT / path).read_text().splitlines()]
+    assert sum(bool(line.strip()) for line in lines) <= 610 and max(map(len, lines)) <= 110
+
+
+@pytest.mark.skipif(not Path("/proc/self/fd").exists(), reason="needs Linux's /proc")
+def test_run_stays_one_process_without_other_programs_rings_or_unix_paths(tmp_path: Path) -> None:
+    """Where hundreds of fronts are played, a program started, an io_uring or a Unix path is refused."""
+
+    async def run() -> None:
+        front = Front(tmp_path, {name: Cache(Asked.data) for name in ("s-1", "p-1", "o-1")})
+        try:
+            await front.start()
+            front.signal(signal.SIGKILL)
+            await front.code()
+            front.lines.clear()
+            command = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
+            path = tmp_path / "run.json"
+            path.write_text(json.dumps(front.config))
+            front.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", command, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+                env=dict(os.environ) | {"ROUTER_CONFIG": str(path)},
+            )  # fmt: skip
+            front.reading = asyncio.create_task(front._log(front.process))
+            await until(lambda: front.logged("serves") or front.ended, "the front serves")
+            client = await front.client()
+            for request in range(1, 9):
+                client.ask(request)
+                assert (await client.ended(request)).status == 200
+            proc = Path("/proc") / str(front.process.pid)
+            assert (proc / "exe").resolve() == Path(sys.executable).resolve()
+            assert b"ld-" in (proc / "exe").read_bytes()[:4096]  # an interpreter: linked dynamically
+            assert not any((task / "children").read_text() for task in (proc / "task").iterdir())
+            held = [os.readlink(fd) for fd in (proc / "fd").iterdir() if fd.is_symlink()]
+            assert not any("io_uring" in name for name in held)
+            named = [line.split() for line in (proc / "net" / "unix").read_text().splitlines()[1:]]
+            paths = {f"socket:[{words[6]}]" for words in named if len(words) > 7}
+            assert not paths & set(held)
+        finally:
+            await front.stop()
+
+    asyncio.run(run())
--- a/tests/test_wire_changelog.py
+++ b/tests/test_wire_changelog.py
@@ -113,3 +113,11 @@
     except ProtocolError:
         return
     assert all(isinstance(event, changelog.ChangeEvent) for event in events)
+
+
+def test_a_list_without_sizes_is_taken_whole() -> None:
+    """Where no sizes are told the machine is served all the same; a size of a wrong type is still told."""
+    record = fleet(1)
+    del record["fleet"]["hosts"][0]["share"]
+    (change,) = changelog.read_changes({"seq": 1, "results": [record]})[1]
+    assert isinstance(change, changelog.FleetChange) and change.hosts[0].size == 0.0
