--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -124,14 +124,11 @@
             )
         )
     fronts = c.whole("replicas_of_me", least=1)
-    parties = range(c.whole("parties.count", "0"))
     return Settings(
         zone=c.whole("zone", least=0),
         fronts=fronts,
         fronts_by_zone=tuple(int(n) for n in c.numbers(info + "seats_by_zone")),
         classes=tuple(classes),
-        tenant_quotas=tuple(c.number(f"parties.{n}.quota_per_s", "0") for n in parties),
-        over_share_worth=c.number("over_share_worth", "1"),
         parent_kind=c.whole(info + "second_tier_kind", "-1"),
         origin_kind=c.whole(info + "root_kind", "-1"),
         direct=c.flag(info + "pass_through_ok", "false"),
--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -87,8 +87,6 @@
     fronts: int
     fronts_by_zone: tuple[int, ...]
     classes: tuple[RequestClass, ...]
-    tenant_quotas: tuple[float, ...]
-    over_share_worth: float
     parent_kind: int
     origin_kind: int
     direct: bool
--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -137,7 +137,6 @@
         self.borne = dict[int, tuple[float, int]]()
         self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
         self.extra, self.logs, self.awake, self.watching, self.watched = EXTRA_MOST, 0, False, False, now
-        self.quota = [(q / settings.fronts, now) for q in settings.tenant_quotas]
         self.out: list[io.Action] = []
 
     def handle(self, now: int, event: io.Event) -> list[io.Action]:
@@ -191,11 +190,6 @@
 
     def came(self, e: io.RequestCame) -> None:
         tier = self.tiers[e.cls]
-        if e.tenant < len(self.quota):  # past its tenant's share a request is worth little: lowest tier
-            rate, (saved, at) = self.s.tenant_quotas[e.tenant] / self.s.fronts, self.quota[e.tenant]
-            saved = min(rate, saved + rate * (self.now - at) / SECOND)
-            tier = 2 if saved < 1 and self.s.over_share_worth < 1 else tier
-            self.quota[e.tenant] = (max(saved - 1, 0.0), self.now)
         cls = self.s.classes[e.cls]
         behind = e.waited > TURN_PART * cls.on_time / (1 + tier) and not cls.never_kept
         if behind or e.time_left <= self.s.step:  # refused while that costs little, the lowest tier first
