--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -153,6 +153,7 @@
     assert (s.purge_settles, s.cold_window, s.parent_cold_from) == (6 * 10**9, 1500 * 10**6, 0.1)
     assert [c.effect for c in s.classes] == [Effect.SAFE, Effect.UNSAFE]
     assert [(c.fresh, c.grace, c.stretch) for c in s.classes] == [(0, 0, 2.0), (12 * 10**9, 10 * 10**9, 0.0)]
+    assert s.sizes_compare and not s.list_on_request
 
 
 @pytest.mark.parametrize("key", ["services.0.worth", "rules.cold_from", "zone", "services.count"])
