--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -280,7 +280,7 @@
     services = raw.take("services", "a list of classes", list)
     on_probe = report.text("how") == "on_probe"
     if on_probe and site.value.get("probes", True) is False:
-        raise SettingsError("configuration holds report.how=on_probe, but settings.limits.probes=false")
+        raise SettingsError("configuration holds settings.report.how=on_probe, but probes are not allowed")
     last, events = _known(keys, judge)
     zones = raw.names("zones")
     if settings.zone >= len(zones):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -55,7 +55,7 @@
         ("name", None, "name"),
         ("settings.rules.cold_from", 1.5, "rules.cold_from"),
         ("settings.family_info.upper_cold_from", -0.1, "upper_cold_from"),
-        ("settings.limits.probes", False, "report.how"),  # reports on probes, and no probes
+        ("settings.limits.probes", False, "settings.report.how"),  # reports on probes, and no probes
         ("listen", "localhost", "listen"),
         ("listen", "127.0.0.1:70000", "listen"),
         ("changelog", None, "changelog"),
