Cold share and the zone's fronts worked out in one place

Need: reading the change once showed the cold spans chosen in warm() and again in room(), and the fronts of the zone worked out twice.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -129,7 +129,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in TIER_WEIGHTS]
         self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
-        self.least = max(BOUND_LEAST // max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1), BOUND_EACH)
+        self.mates = max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1)  # fronts of this zone, with us
+        self.least = max(BOUND_LEAST // self.mates, BOUND_EACH)
         self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
         self.fetch = Pace()  # of all fills, through the zone's link
         self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, 0  # what fills wait for; see full
@@ -247,27 +248,26 @@
         ready = node.member.state is CacheState.READY and node not in req.avoid
         return ready and (not node.suspect or self.now >= node.trial_at) and self.room(node)
 
-    def warm(self, node: Node) -> bool:
-        s, kind = self.s, node.member.kind
-        span = s.parent_cold_time if kind == s.parent_kind else s.cold_time
-        # a window has what it began with
-        return node.cold_at == 0 or self.now - node.cold_at - s.cold_window >= span or kind == s.origin_kind
+    def cold(self, node: Node) -> tuple[float, float]:
+        """What a machine that started lately can surely do, as a part of its size, and what it stands."""
+        s, upper = self.s, node.member.kind == self.s.parent_kind
+        least, warm = (s.parent_cold_from, s.parent_cold_time) if upper else (s.cold_from, s.cold_time)
+        age = self.now - node.cold_at - s.cold_window  # a window has what it began with
+        if node.cold_at == 0 or age >= warm or node.member.kind == s.origin_kind:
+            return 1.0, math.inf
+        share = least + (1 - least) * max(age, 0) / max(warm, 1)
+        return share, s.parent_cold_multiple if upper else s.cold_multiple
 
     def room(self, node: Node) -> bool:
         """Whether a machine that started lately may be asked (rule four): credit by time, by turns."""
-        if self.warm(node):
+        share, multiple = self.cold(node)
+        if multiple == math.inf:  # it is warm
             return True
-        s = self.s
-        least, multiple, warm = s.cold_from, s.cold_multiple, s.cold_time
-        if node.member.kind == s.parent_kind:
-            least, multiple, warm = s.parent_cold_from, s.parent_cold_multiple, s.parent_cold_time
-        age = self.now - node.cold_at - s.cold_window
-        share = least + (1 - least) * max(age, 0) / max(warm, 1)
         rate = COLD_SAFETY * multiple * share * self.size(node) / self.sharers(node)
         if node.paid < node.cold_at:
             node.paid, node.credit = self.now, -self.random.random() * max(self.work)
         saved = node.credit + rate * (self.now - node.paid)
-        node.paid, node.credit = self.now, min(saved, COLD_BURST * rate * s.cold_window)
+        node.paid, node.credit = self.now, min(saved, COLD_BURST * rate * self.s.cold_window)
         return node.credit >= 0
 
     def place(self, req: Request) -> Node | None:
@@ -312,7 +312,7 @@
             work *= math.exp2((at - self.now) / BORNE_FADE)
             span = BORNE_FADE / math.log(2) * (1 - math.exp2((self.born - self.now) / BORNE_FADE))
             self.borne[kind] = (work, self.now)
-            if alike and not any(n.suspect or not self.warm(n) for n in alike):
+            if alike and not any(n.suspect or self.cold(n)[1] < math.inf for n in alike):
                 whole = work / (span + BORNE_LEAST) * self.sharers(alike[0]) / len(alike)
                 self.sizes[kind] = max(whole, 1.0)
 
@@ -340,8 +340,7 @@
         """Whether a fill must wait: for the bound, or for the zone's link, as told or as fills show it."""
         link = self.link * math.exp2((self.link_at - self.now) / LINK_FADE)
         if self.now - self.link_at > 2 * LINK_FADE:
-            n = max(*self.s.fronts_by_zone[self.s.zone :][:1], 0, 1)  # as many act on what all see
-            link = self.fetch.times(self.now) / (LINK_PART + (1 - LINK_PART) / n)
+            link = self.fetch.times(self.now) / (LINK_PART + (1 - LINK_PART) / self.mates)  # all see it
         return self.fills >= self.bound or link * self.work_of(req) > self.aim(req)
 
     def known(self, node: Node, req: Request) -> bool:
