--- a/quincepier/lab/model.py
+++ b/quincepier/lab/model.py
@@ -106,6 +106,7 @@
         self.window, self.places = window, places
         self.asked: deque[tuple[int, float]] = deque()
         self.sum = 0.0
+        self.strain = 0.0  # the most it was asked for within a window, over what it stands
 
     def share(self, now: int) -> float:
         if not self.born:
@@ -121,4 +122,7 @@
         while self.asked[0][0] < now - self.window:
             self.sum -= self.asked.popleft()[1]
         room = self.share(max(now - self.window, self.born)) * self.places * self.window
-        return now - self.born > self.window and self.sum > self.multiple * room
+        if now - self.born <= self.window:
+            return False
+        self.strain = max(self.strain, self.sum / (self.multiple * room))
+        return self.sum > self.multiple * room
--- /dev/null
+++ b/quincepier/lab/returns.py
@@ -0,0 +1,93 @@
+"""How a fleet comes back: stampede factors and the time to full service, from counts alone; no clock.
+
+Times are nanoseconds of the run. Before the first fault is what is usual.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+from itertools import accumulate
+
+WINDOW = 500_000_000  # ns in which a stampede is looked for
+SECOND = 1_000_000_000
+FULL, HOLDS = 0.97, 3  # of the usual share of worth served; for so many seconds
+STEP = SECOND // 10  # between the seconds that are looked at
+SETTLE = SECOND  # after the run's start until what is seen counts as usual
+USUAL_LEAST = 5  # events before the fault; fewer tell no usual rate
+
+
+class Returns:
+    """Hears what a fleet adds up to, and what each request that came was worth and served of it."""
+
+    def __init__(self, start: int) -> None:
+        self.start = start
+        self.fault: int | None = None  # the first one on fronts
+        self.back: int | None = None  # when the last front that was down served again
+        self.series: dict[str, list[int]] = defaultdict(list)
+        self.worth: list[tuple[int, float, float]] = []  # when it first came, asked, served
+
+    def count(self, what: str, now: int) -> None:
+        self.series[what].append(now)
+
+    def struck(self, now: int) -> None:
+        if self.fault is None:
+            self.fault = now
+
+    def returned(self, now: int) -> None:
+        self.back = max(now, self.back or 0)
+
+    def over(self, came: int, asked: float, served: float) -> None:
+        self.worth.append((came, asked, served))
+
+    def usual_rate(self, what: str) -> float | None:
+        """Events a second before the fault; None where too few tell."""
+        if self.fault is None:
+            return None
+        since = self.start + SETTLE
+        seen = sum(since <= at < self.fault for at in self.series[what])
+        return seen * SECOND / (self.fault - since) if seen >= USUAL_LEAST and self.fault > since else None
+
+    def stampede(self, what: str) -> float | None:
+        """The greatest rate of any 500 ms from the fault on, over the usual one."""
+        usual = self.usual_rate(what)
+        if usual is None or self.fault is None:
+            return None
+        times, most = sorted(at for at in self.series[what] if at >= self.fault), 0
+        for n, at in enumerate(times):
+            most = max(most, bisect_left(times, at + WINDOW) - n)
+        return most * SECOND / WINDOW / usual
+
+    def usual_service(self) -> float | None:
+        """The share of worth served of what came before the fault."""
+        if self.fault is None:
+            return None
+        before = [w for w in self.worth if self.start + SETTLE <= w[0] < self.fault]
+        asked = sum(w[1] for w in before)
+        return sum(w[2] for w in before) / asked if asked else None
+
+    def to_full_service(self, end: int) -> float | None:
+        """Seconds from the last return until each second's share is 0.97 of the usual and stays so for 3 s.
+
+        None where it never is by `end`, or no front came back.
+        """
+        usual = self.usual_service()
+        if usual is None or self.back is None:
+            return None
+        ordered = sorted(self.worth)
+        times = [w[0] for w in ordered]
+        asked = [0.0, *accumulate(w[1] for w in ordered)]
+        served = [0.0, *accumulate(w[2] for w in ordered)]
+
+        def good(at: int) -> bool:
+            a, b = bisect_left(times, at), bisect_left(times, at + SECOND)
+            return served[b] - served[a] >= FULL * usual * (asked[b] - asked[a])
+
+        steps, run = HOLDS * SECOND // STEP - SECOND // STEP, 0
+        at = self.back
+        while at + SECOND <= end:
+            run = run + 1 if good(at) else 0
+            if run > steps:
+                return (at - steps * STEP - self.back) / SECOND
+            at += STEP
+        return None
--- a/quincepier/lab/tally.py
+++ b/quincepier/lab/tally.py
@@ -8,6 +8,7 @@
 
 from quincepier.lab.experiment import MS, SECOND, Experiment
 from quincepier.lab.judge import Judge
+from quincepier.lab.returns import Returns
 
 LATE_WORTH = 0.1  # of what comes past its wanted time and within its deadline
 STALE_WORTH = 0.5
@@ -30,6 +31,10 @@
     by_class: dict[str, dict[str, int]]
     seconds: tuple[float, ...]  # served over asked, by second
     marks: tuple[tuple[float, str], ...]
+    stampede: dict[str, float]  # by what is counted, where a front fell
+    usual: dict[str, float]  # events a second before that
+    full_service_s: float | None  # from the last return; None: never, or none came back
+    cold_strain: float  # the most any cold machine was asked for, over what it stands
     broken: int
     rules: dict[str, int]  # how often each rule was looked at
     first_broken: tuple[str, ...]
@@ -46,6 +51,7 @@
         self.times: list[int] = []
         self.marks: list[tuple[float, str]] = []
         self.figures: Figures | None = None
+        self.returns = Returns(START)
 
     def _second(self, now: int) -> int:
         return (now - START) // SECOND
@@ -65,23 +71,29 @@
         words, wanted = self.by_class[c.name], (c.wanted_ms + c.stretch * c.send_ms) * MS
         if status != "served":
             words[status] += 1
+            self.returns.over(now - took, c.worth, 0.0)
             return
         late = took > wanted
         words["late" if late else "stale" if stale else "served"] += 1
         self.times.append(took)
         part = LATE_WORTH if late else STALE_WORTH if stale else 1.0
         self.worth_served[self._second(now - took)] += int(c.worth * 1000 * part)
+        self.returns.over(now - took, c.worth, c.worth * part)
 
-    def filled(self, now: int) -> None:
+    def filled(self, now: int, at_origin: bool) -> None:
+        """A fill was begun at a cache, from the origin itself or from a parent."""
         self.fills += 1
+        if not at_origin:
+            self.returns.count("fills at parents", now)
 
     def fetched(self, now: int) -> None:
         self.fetches += 1
+        self.returns.count("work at the origin", now)
 
     def mark(self, now: int, what: str) -> None:
         self.marks.append(((now - START) / SECOND, what))
 
-    def finish(self, judge: Judge, digest: str, events: int) -> None:
+    def finish(self, judge: Judge, digest: str, events: int, strain: float = 0.0) -> None:
         seconds = [
             self.worth_served[s] / self.worth_asked[s] if self.worth_asked[s] else 1.0
             for s in range(int(self.experiment.seconds))
@@ -91,6 +103,9 @@
         for counted in self.by_class.values():
             words += counted
         asked = sum(self.worth_asked.values()) or 1
+        end = START + int(self.experiment.seconds * SECOND)
+        factors = {what: self.returns.stampede(what) for what in sorted(self.returns.series)}
+        usual = {what: self.returns.usual_rate(what) for what in sorted(self.returns.series)}
         self.figures = Figures(
             worth=round(sum(self.worth_served.values()) / asked, 6),
             worst_second=round(min(seconds, default=1.0), 6),
@@ -105,6 +120,10 @@
             by_class={name: dict(sorted(counted.items())) for name, counted in self.by_class.items()},
             seconds=tuple(round(s, 4) for s in seconds),
             marks=tuple(self.marks),
+            stampede={what: round(f, 3) for what, f in factors.items() if f is not None},
+            usual={what: round(f, 3) for what, f in usual.items() if f is not None},
+            full_service_s=self.returns.to_full_service(end),
+            cold_strain=round(strain, 4),
             broken=judge.count,
             rules=dict(sorted(judge.checked.items())),
             first_broken=tuple(
