The rig: fronts as processes, the net, machines, clients and a judge between them

Need: coming back and membership have to be proven on several processes with faults between them; the laboratory played virtual time alone.

Change: quincepier/lab/fleet: a relay with a listener for each pair and each direction's faults, stand-ins whose model is that of virtual time, open-loop clients, the rig that kills, ends, stops and starves fronts and strikes their folders, evidence laid before the judge that virtual time uses; lab fleet and lab report.

--- a/quincepier/__main__.py
+++ b/quincepier/__main__.py
@@ -6,6 +6,9 @@
   quincepier lab run EXPERIMENT [--out FILE] [--processes N]
   quincepier lab compare A B [--runs FILE]
   quincepier lab list [--folder DIR]
+  quincepier lab fleet EXPERIMENT [--out FILE] [--seeds LIST] [--variant NAME] [--checkout DIR] [--keep DIR]
+                       [--report FILE] [--json]
+  quincepier lab report RUN [--report FILE]
   quincepier version
   quincepier (-h | --help)
 
@@ -15,6 +18,8 @@
   lab run       Play an experiment in virtual time, judge the rules, compare its variants (docs/lab.md).
   lab compare   Two files of runs, or two variants of the one named by --runs, paired by seed.
   lab list      The experiments of a folder.
+  lab fleet     Play an experiment by real processes on loopback, faults between them (docs/lab.md).
+  lab report    An HTML page of a file of fleet runs, with plots.
   version       Print the version.
 
 Options:
@@ -24,6 +29,12 @@
   --processes N    Runs played side by side [default: 1].
   --runs FILE      A file of runs.
   --folder DIR     Where experiments are [default: experiments].
+  --seeds LIST     Seeds in place of the experiment's, such as 1,2,3.
+  --variant NAME   One variant alone.
+  --checkout DIR   Fronts of another checkout of quincepier, to compare with.
+  --keep DIR       Keep configurations, logs and notes of the (one) run there.
+  --report FILE    The page of the last run; for `lab report` the run's name with .html is the default.
+  --json           The runs as JSON on the standard output, nothing else.
   -h --help        Show this text.
 
 Environment:
@@ -33,7 +44,7 @@
   ROUTER_LISTEN    Where clients connect, such as 127.0.0.1:5050; goes before the file's.
 
 Exit codes: 0 done, 1 the address can't be had, or a rule broke in the laboratory, 2 a file or the command
-line is at fault.
+line is at fault, or the rig can't be set up here, 3 a run of the rig is void.
 """
 
 from __future__ import annotations
--- a/quincepier/lab/command.py
+++ b/quincepier/lab/command.py
@@ -1,4 +1,4 @@
-"""The sub-commands `lab run`, `lab compare` and `lab list`."""
+"""The sub-commands of `lab`."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 def run(chosen: Mapping[str, Any]) -> int:
-    """The exit code: 0 done, 1 where a rule broke, 2 for a file that can't be used."""
+    """The exit code: 0 done, 1 where a rule broke, 2 for a file that can't be used, 3 for a void run."""
     out = Console()
     if not out.is_terminal:  # into a file: wide enough for every column
         out = Console(width=WIDTH)
@@ -39,6 +39,10 @@
             return _run(chosen["EXPERIMENT"], chosen["--out"], int(chosen["--processes"] or 1), out)
         if chosen["compare"]:
             return _compare(chosen["A"], chosen["B"], chosen["--runs"], out)
+        if chosen["fleet"] or chosen["report"]:
+            from quincepier.lab.fleet import command
+
+            return command.fleet(chosen, out) if chosen["fleet"] else command.report(chosen, out)
         return _list(chosen["--folder"] or "experiments", out)
     except (SettingsError, ValueError) as error:
         print(f"quincepier: {error}", file=sys.stderr)
--- /dev/null
+++ b/quincepier/lab/fleet/command.py
@@ -0,0 +1,134 @@
+"""The sub-commands `lab fleet` and `lab report`."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from quincepier.lab.experiment import load
+from quincepier.lab.fleet.evidence import FleetRun
+from quincepier.lab.fleet.rig import Rig
+
+FORMAT = 1
+
+
+class FleetRuns(msgspec.Struct, frozen=True):
+    """What a file of fleet runs holds."""
+
+    format: int
+    runs: tuple[FleetRun, ...]
+
+
+async def _play(rig: Rig) -> FleetRun:
+    """SIGINT and SIGTERM end the run and all that it started."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, lambda: task.cancel() if task else None)
+    try:
+        return await rig.play()
+    finally:
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.remove_signal_handler(number)
+
+
+def fleet(chosen: Mapping[str, Any], out: Console) -> int:
+    path = chosen["EXPERIMENT"]
+    experiment = load(path)
+    seeds = experiment.seeds
+    if chosen["--seeds"]:
+        seeds = tuple(int(seed) for seed in chosen["--seeds"].split(","))
+    variants = [v for v in experiment.variants if chosen["--variant"] in (None, v.name)]
+    if not variants:
+        raise ValueError(f"{path} has no variant {chosen['--variant']!r}")
+    if chosen["--keep"] and len(seeds) * len(variants) > 1:
+        raise ValueError("--keep is for one run: name a seed and a variant")
+    quiet, runs = chosen["--json"], list[FleetRun]()
+    with Progress(console=out, disable=quiet or not out.is_terminal, transient=True) as progress:
+        for variant, seed in [(v, s) for s in seeds for v in variants]:
+            bar = progress.add_task(f"{variant.name}, seed {seed}", total=1.0)
+            rig = Rig(
+                path, experiment, variant, seed, checkout=chosen["--checkout"], keep=chosen["--keep"],
+                progress=lambda share, bar=bar: progress.update(bar, completed=share),  # type: ignore[misc]
+            )  # fmt: skip
+            try:
+                runs.append(asyncio.run(_play(rig)))
+            except asyncio.CancelledError:
+                print("quincepier: ended before the run was over", file=sys.stderr)
+                return 3
+            if not quiet:
+                told(runs[-1], out)
+    kept = FleetRuns(FORMAT, tuple(runs))
+    if quiet:
+        sys.stdout.buffer.write(msgspec.json.encode(kept) + b"\n")
+    if chosen["--out"]:
+        beside = Path(chosen["--out"] + ".new")
+        beside.write_bytes(msgspec.json.format(msgspec.json.encode(kept), indent=1) + b"\n")
+        beside.replace(chosen["--out"])
+    if chosen["--report"]:
+        _write(runs[-1], Path(chosen["--report"]), out, quiet)
+    return 3 if any(run.void for run in runs) else 1 if any(run.figures.broken for run in runs) else 0
+
+
+def _write(run: FleetRun, path: Path, out: Console, quiet: bool) -> None:
+    from quincepier.lab import report as page
+
+    page.write(run, path)
+    if not quiet:
+        out.print(f"report: {path}", highlight=False)
+
+
+def told(run: FleetRun, out: Console) -> None:
+    """What happened, in a few lines."""
+    f = run.figures
+    counted = f"{f.served} served, {f.late} late, {f.refused} refused, {f.failed} failed"
+    out.print(
+        f"{run.experiment}, {run.variant}, seed {run.seed}: worth {f.worth:.4f} (worst second "
+        f"{f.worst_second:.3f}); {counted}; p99 {f.p99_ms:.0f} ms",
+        highlight=False,
+    )
+    if run.downs:
+        full = "not within the run" if f.full_service_s is None else f"after {f.full_service_s:.1f} s"
+        fronts = len({down.front for down in run.downs})
+        out.print(
+            f"  {fronts} of {run.fronts} fronts were down; full service {full}; refusals: "
+            + (
+                ", ".join(
+                    f"{n} {c.get('refused', 0) + c.get('refused, again', 0)}" for n, c in f.by_class.items()
+                )
+            ),
+            highlight=False,
+        )
+        table = Table("stampede", "usually a second", "factor")
+        for what, factor in f.stampede.items():
+            table.add_row(what, f"{f.usual[what]:.1f}", f"{factor:.2f}")
+        out.print(table)
+    if run.void:
+        out.print(f"  [red]void[/red]: {run.void}", highlight=False)
+    for line in f.first_broken:
+        out.print(f"  {line}", highlight=False)
+    out.print(
+        "  no rule broken" if not f.broken else f"  [red]{f.broken} broken rules[/red]", highlight=False
+    )
+
+
+def report(chosen: Mapping[str, Any], out: Console) -> int:
+    """The page of the last run in a file."""
+    path = Path(chosen["RUN"])
+    try:
+        kept = msgspec.json.decode(path.read_bytes(), type=FleetRuns)
+    except (OSError, msgspec.DecodeError) as error:
+        raise ValueError(f"{path}: no fleet runs can be read: {error}") from None
+    if kept.format != FORMAT or not kept.runs:
+        raise ValueError(f"{path}: format {kept.format} with {len(kept.runs)} runs can't be shown")
+    _write(kept.runs[-1], Path(chosen["--report"] or path.with_suffix(".html")), out, False)
+    return 0
--- /dev/null
+++ b/quincepier/lab/fleet/disk.py
@@ -0,0 +1,34 @@
+"""What befalls a front's folder of state while it is down."""
+
+from __future__ import annotations
+
+import random
+import shutil
+from pathlib import Path
+
+from quincepier.lab.experiment import Kept
+
+
+def read(folder: Path) -> dict[str, bytes]:
+    """The files of a folder by their path in it."""
+    return {str(p.relative_to(folder)): p.read_bytes() for p in sorted(folder.rglob("*")) if p.is_file()}
+
+
+def strike(folder: Path, how: Kept, older: dict[str, bytes], chance: random.Random) -> None:
+    """`older` is what the folder held as the run began."""
+    files = [p for p in sorted(folder.rglob("*")) if p.is_file()]
+    if how in (Kept.EMPTY, Kept.OLDER):
+        shutil.rmtree(folder)
+        folder.mkdir(parents=True)
+        for name, content in older.items() if how is Kept.OLDER else ():
+            (folder / name).parent.mkdir(parents=True, exist_ok=True)
+            (folder / name).write_bytes(content)
+    elif how is Kept.READ_ONLY:
+        folder.chmod(0o500)
+    for path in files if how in (Kept.CUT, Kept.FLIP) else ():
+        content = bytearray(path.read_bytes())
+        if how is Kept.CUT:
+            del content[len(content) // 2 :]
+        elif content:
+            content[chance.randrange(len(content))] ^= 1 << chance.randrange(8)
+        path.write_bytes(content)
--- /dev/null
+++ b/quincepier/lab/fleet/evidence.py
@@ -0,0 +1,307 @@
+"""What all sides of a fleet saw, put in order and laid before the judge; then the figures.
+
+Shares no code with a front. A front is told of an event when it asks for later ones, or by the list it starts
+with; an answer is excused where its front was killed or stopped by the rig, or the rig itself stood still.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from quincepier.lab.experiment import MS, ORIGIN, SECOND, Experiment
+from quincepier.lab.judge import Judge
+from quincepier.lab.returns import FULL
+from quincepier.lab.tally import START, Figures, Tally
+
+CROSSED = 50 * MS  # a request that crosses the close of its connection was never taken
+TERM_TAKES = 700 * MS  # what comes later than this after SIGTERM is nobody's
+CLAIM_FOR, CLAIM_LEAST, CLAIM_SHARE = 3 * SECOND, 20, 0.9  # a front's claim of full service; see _claims
+US = 1000
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+
+class Part(msgspec.Struct, frozen=True):
+    """What the processes of one kind used."""
+
+    processes: int
+    cpu_s: float
+    memory_mb: float  # the most of any one
+
+
+class Down(msgspec.Struct, frozen=True):
+    """A front that was away: seconds of the run."""
+
+    front: int
+    since: float
+    until: float
+    why: str
+
+
+class FleetRun(msgspec.Struct, frozen=True):
+    """One run of processes, as it is kept. `void` says why its figures count for nothing."""
+
+    experiment: str
+    variant: str
+    seed: int
+    seconds: float
+    fronts: int
+    caches: int
+    void: str
+    figures: Figures
+    series: dict[str, tuple[int, ...]]  # events in each half second
+    downs: tuple[Down, ...]
+    percentiles_ms: dict[str, float]
+    parts: dict[str, Part]
+    starts_s: tuple[float, ...]  # from each start of a front until it served
+    accused: dict[str, tuple[int, ...]]  # fronts by the rule they broke
+
+    @property
+    def passed(self) -> bool:
+        return not self.void and not self.figures.broken
+
+
+@dataclass
+class Story:
+    """What the rig itself did and saw, in monotonic nanoseconds."""
+
+    start: int = 0
+    marks: list[tuple[int, str, bool]] = field(default_factory=list)  # when, what, whether on fronts
+    downs: list[tuple[int, int, int, str]] = field(default_factory=list)  # front, since, until, why
+    stops: list[tuple[int, int, int]] = field(default_factory=list)  # front, since, until
+    terms: list[tuple[int, int]] = field(default_factory=list)  # front, when
+    starts: list[tuple[int, int, int]] = field(default_factory=list)  # when, front, events known
+    returns: list[int] = field(default_factory=list)
+    claims: list[tuple[int, int]] = field(default_factory=list)  # when, front
+    crashes: list[tuple[int, str]] = field(default_factory=list)  # front, why
+    took: list[float] = field(default_factory=list)
+
+
+def _read(folder: Path) -> Iterator[list[Any]]:
+    decode = msgspec.json.Decoder(list[Any]).decode
+    for path in sorted(folder.glob("notes-*")):
+        for line in path.read_bytes().splitlines():
+            try:
+                yield decode(line)
+            except msgspec.DecodeError:  # cut short as its process ended
+                continue
+
+
+class Evidence:
+    def __init__(self, experiment: Experiment, story: Story, folder: Path) -> None:
+        self.experiment, self.story = experiment, story
+        self.judge, self.tally = Judge(), Tally(experiment)
+        self.notes = sorted(_read(folder), key=lambda n: n[0])
+        self.notes += [[at, "started", front, seq] for at, front, seq in story.starts]
+        self.notes += [[at, "struck", what, fronts] for at, what, fronts in story.marks]
+        self.notes += [[since, "killed", front] for front, since, _, why in story.downs if why != "term"]
+        self.notes.sort(key=lambda n: n[0])
+        self.sent: dict[int, tuple[int, int]] = {}  # by serial: when, and for which request
+        self.events: dict[int, tuple[str, list[Any]]] = {}
+        self.heard: dict[int, int] = defaultdict(lambda: 1)
+        self.told: dict[int, dict[int, int]] = {}  # of purges, by event
+        self.open: dict[int, dict[int, int]] = defaultdict(dict)  # by front: requests and when they came
+        self.served: dict[int, list[tuple[int, float, float]]] = defaultdict(list)  # by front
+        self.histogram = HdrHistogram(1, 60_000_000, 3)
+        self.stalls = [(n[0] - n[2], n[0]) for n in self.notes if n[1] == "stall"]
+        self.strain, self.last = 0.0, 0
+
+    def _at(self, when: int) -> int:
+        """On the judge's clock, on which the run begins at START."""
+        return when - self.story.start + START
+
+    def _stood(self, since: int, until: int) -> int:
+        return sum(max(min(b, until) - max(a, since), 0) for a, b in self.stalls)
+
+    def _excused(self, front: int, came: int, due: int) -> bool:
+        """Whether the rig itself kept that front from answering."""
+        stopped = any(f == front and a < due and came < b for f, a, b in self.story.stops)
+        down = any(f == front and a <= due and came < b for f, a, b, why in self.story.downs if why != "term")
+        late = any(
+            f == front and came > at + TERM_TAKES and came < at + 30 * SECOND for f, at in self.story.terms
+        )
+        return stopped or down or late
+
+    def hear(self) -> None:
+        for when, what, *about in self.notes:
+            getattr(self, f"_{what}", self._pass)(when, *about)
+        self._claims()
+        for front, why in self.story.crashes:
+            self.judge.accuse("crash", -1, f"front {front} {why}")
+        self.judge.end(self._at(self.last))
+
+    def _pass(self, when: int, *about: Any) -> None:
+        pass
+
+    def _came(self, when: int, cls: int, intended: int) -> None:
+        self.tally.asked(self._at(intended), cls)
+
+    def _asked(self, when: int, job: int, front: int, effect: str, due: int, group: int) -> None:
+        due += self._stood(when, due + SECOND)
+        self.judge.asked(self._at(when), job, front, effect, self._at(due))
+        self.open[front][job] = when
+        self.last = max(self.last, when)
+        if self._excused(front, when, due):
+            self.judge.abandoned(job)
+
+    def _sent(self, when: int, job: int, front: int, machine: int, source: int, serial: int) -> None:
+        self.sent[serial] = (when, job)
+        self.judge.sent(self._at(when), job, front, machine, source or None)
+
+    def _ran(self, when: int, job: int, machine: int) -> None:
+        self.judge.ran(self._at(when), job, machine)
+
+    def _fell(self, when: int, machine: int, job: int) -> None:
+        self.judge.fell(self._at(when), machine, job)
+
+    def _machines(self, when: int, colds: int, strain: float) -> None:
+        self.strain = strain
+        for _ in range(colds):
+            self.judge.looked_cold()
+
+    def _answer(self, when: int, job: int, status: str, serial: int, minted: int, group: int) -> None:
+        if status == "spoilt":
+            self.judge.accuse("answer", job, "bytes that no machine made")
+        sent = self.sent.get(serial, (0, 0))[0]
+        if status == "served" and not sent:
+            self.judge.accuse("answer", job, "an answer of no attempt")
+        copy = self._at(minted) if minted >= 0 else None
+        self.judge.answered(self._at(when), job, status, copy, self._at(sent), group)
+        for jobs in self.open.values():
+            jobs.pop(job, None)
+
+    def _surplus(self, when: int, front: int, kind: int) -> None:
+        self.judge.accuse("answer", -1, f"front {front} says more after a request's end")
+
+    def _left(self, when: int, job: int) -> None:
+        """Past its time and the client's patience: never answered, unless it is excused."""
+        self.last = max(self.last, when)
+
+    def _lost(self, when: int, job: int, front: int) -> None:
+        came = self.open[front].pop(job, when)
+        if self._excused(front, came, when) or when - came < CROSSED:
+            self.judge.abandoned(job)
+        else:
+            self.judge.accuse("answer", job, "its connection ended with no answer")
+            self.judge.abandoned(job)
+
+    def _killed(self, when: int, front: int) -> None:
+        for job in self.open[front]:
+            self.judge.abandoned(job)
+        self.open[front].clear()
+
+    def _struck(self, when: int, what: str, fronts: bool) -> None:
+        self.tally.mark(self._at(when), what)
+        self.tally.returns.struck(self._at(when), fronts)
+
+    # What a front knows
+
+    def _event(self, when: int, seq: int, what: str, about: list[Any]) -> None:
+        self.events[seq] = (what, about)
+        if what == "purged":
+            group, at = about
+            self.told[seq] = {}
+            self.judge.purged(self._at(at), group, self.told[seq])
+
+    def _knows(self, when: int, front: int, seq: int) -> None:
+        for one in range(self.heard[front] + 1, seq + 1):
+            what, about = self.events.get(one, ("", []))
+            if what == "purged":
+                self.told[one].setdefault(front, self._at(when))
+            for machine, ready in about if what == "listed" else ():
+                if ready:
+                    self.judge.told_back(front, machine)
+                else:
+                    self.judge.told_leaving(self._at(when), front, machine)
+        self.heard[front] = max(self.heard[front], seq)
+
+    def _call(self, when: int, front: int, since: int) -> None:
+        self.tally.returns.count("calls for the list", self._at(when))
+        self._knows(when, front, since)
+
+    def _started(self, when: int, front: int, seq: int) -> None:
+        self._knows(when, front, seq)
+
+    # What it adds up to
+
+    def _dial(self, when: int, front: int, machine: int) -> None:
+        self.tally.returns.count("dials", self._at(when))
+
+    def _fill(self, when: int, kind: int) -> None:
+        self.tally.filled(self._at(when), kind == ORIGIN)
+
+    def _fetch(self, when: int) -> None:
+        self.tally.fetched(self._at(when))
+
+    def _again(self, when: int, cls: int, status: str, front: int) -> None:
+        worth = self.experiment.classes[cls].worth
+        self.served[front].append((when, worth, 0.0))
+        self.tally.turned(self._at(when), cls, status)
+
+    def _over(
+        self, when: int, cls: int, status: str, came: int, front: int, serial: int, minted: int
+    ) -> None:
+        c, sent = self.experiment.classes[cls], self.sent.get(serial, (0, 0))[0]
+        stale = c.fresh_s > 0 and sent - minted > c.fresh_s * SECOND and status == "served"
+        self.tally.over(self._at(when), cls, "failed" if status == "spoilt" else status, when - came, stale)
+        self.served[front].append((when, c.worth, c.worth if status == "served" else 0.0))
+        if status == "served":
+            self.histogram.record_value(max((when - came) // US, 1))
+
+    def _claims(self) -> None:
+        """A front that says it is back at full service serves nearly what the fleet served before."""
+        usual = self.tally.returns.usual_service()
+        for when, front in self.story.claims:
+            after = [w for w in self.served[front] if when <= w[0] < when + CLAIM_FOR]
+            asked, served = sum(w[1] for w in after), sum(w[2] for w in after)
+            self.judge.checked["claim"] += 1
+            if usual and len(after) >= CLAIM_LEAST and served < CLAIM_SHARE * FULL * usual * asked:
+                share = f"{served / asked:.2f} of {usual:.2f}"
+                self.judge.accuse("claim", -1, f"front {front} says full service and serves {share}")
+
+    def run(self, variant: str, seed: int, void: str, parts: dict[str, Part]) -> FleetRun:
+        self.hear()
+        story, experiment = self.story, self.experiment
+        for at in story.returns:
+            self.tally.returns.returned(self._at(at))
+        self.tally.finish(self.judge, "", len(self.notes), self.strain)
+        accused: dict[str, set[int]] = defaultdict(set)
+        for b in self.judge.broken:
+            words = b.why.split()
+            front = b.front if b.front is not None else int(words[1]) if words[0] == "front" else -1
+            accused[b.rule].add(front)
+        halves = int(experiment.seconds * 2) + 1
+        series = {}
+        for what, times in self.tally.returns.series.items():
+            counts = [0] * halves
+            for at in times:
+                n = (at - START) * 2 // SECOND
+                if 0 <= n < halves:
+                    counts[n] += 1
+            series[what] = tuple(counts)
+
+        def of_run(at: int) -> float:
+            return round((at - story.start) / SECOND, 3)
+
+        return FleetRun(
+            experiment=experiment.name,
+            variant=variant,
+            seed=seed,
+            seconds=experiment.seconds,
+            fronts=experiment.fleet.fronts,
+            caches=experiment.fleet.caches,
+            void=void,
+            figures=self.tally.result(),
+            series=series,
+            downs=tuple(Down(f, of_run(a), of_run(b), why) for f, a, b, why in story.downs),
+            percentiles_ms={f"{p:g}": self.histogram.get_value_at_percentile(p) / 1000 for p in PERCENTILES},
+            parts=parts,
+            starts_s=tuple(round(t, 3) for t in story.took),
+            accused={rule: tuple(sorted(fronts)) for rule, fronts in accused.items()},
+        )
--- /dev/null
+++ b/quincepier/lab/fleet/rig.py
@@ -0,0 +1,582 @@
+"""The rig: starts a fleet of processes and all around it, strikes as the experiment says, ends it all.
+
+Fronts run as in service; they reach everything through the relay alone. The rig decides when each fault
+falls, by time or by a counted event, and keeps the story of it for the evidence.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import os
+import random
+import resource
+import shutil
+import signal
+import socket
+import struct
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+import quincepier
+from quincepier.config import SettingsError
+from quincepier.lab.experiment import ON_FRONTS, ON_PATHS, SECOND, Experiment, Fault, Kind, Variant
+from quincepier.lab.experiment import Path as NetPath
+from quincepier.lab.fleet import child, disk, load, relay, standins
+from quincepier.lab.fleet.evidence import Evidence, FleetRun, Part, Story
+from quincepier.lab.fleet.places import front_address, pair_address
+from quincepier.lab.fleet.setup import configuration, settings
+
+ROOT = Path(quincepier.__file__).parent.parent
+SERVE = (sys.executable, "-O", "-m", "quincepier", "serve")
+START_WITHIN, END_WITHIN, CHILD_WITHIN = 90.0, 15.0, 60.0  # seconds; past them it has failed
+LEAVES = 0.3  # seconds from SIGTERM until clients come to that front no more
+RATE_EACH = 600.0  # arrivals a second for each load process
+TICKS = 1e9 / os.sysconf("SC_CLK_TCK")
+CLAIM = "full service after"
+SPARE_FILES = 200  # descriptors beside the listeners and connections
+
+
+class RigError(SettingsError):
+    """The rig can't be set up here: what is in the way, in a line."""
+
+
+class Child:
+    """A process of the rig's own, with its two lines of words."""
+
+    def __init__(self, name: str, rig: Rig) -> None:
+        self.name, self.rig = name, rig
+        self.process: asyncio.subprocess.Process | None = None
+        self.ready: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
+        self.heard: dict[str, Any] = {}
+        self.ending = False
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, module: str, plan: msgspec.Struct) -> dict[str, Any]:
+        path = self.rig.folder / f"plan-{self.name}.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        log = (self.rig.folder / f"log-{self.name}").open("wb")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", module, str(path), cwd=ROOT, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, stderr=log, limit=1 << 24, start_new_session=True,
+        )  # fmt: skip
+        log.close()
+        self.tasks = [asyncio.create_task(self._listen()), asyncio.create_task(self._watch())]
+        async with asyncio.timeout(CHILD_WITHIN):
+            words = await self.ready
+        if "fault" in words:
+            raise RigError(words["fault"])
+        return words
+
+    async def _listen(self) -> None:
+        assert self.process is not None and self.process.stdout is not None
+        while line := await self.process.stdout.readline():
+            words = msgspec.json.decode(line)
+            if not self.ready.done():
+                self.ready.set_result(words)
+            else:
+                self.rig.heard(self, words)
+
+    async def _watch(self) -> None:
+        assert self.process is not None
+        code = await self.process.wait()
+        if not self.ready.done():
+            tail = (self.rig.folder / f"log-{self.name}").read_text(errors="replace").strip().splitlines()
+            self.ready.set_result({"fault": f"{self.name} ended with {code}: {tail[-1] if tail else ''}"})
+        if not self.ending:
+            self.rig.void = self.rig.void or f"{self.name} ended by itself with {code}"
+            self.rig.broken.set()
+
+    def say(self, **words: Any) -> None:
+        if self.process is not None and self.process.stdin is not None and self.process.returncode is None:
+            with contextlib.suppress(ConnectionError):
+                self.process.stdin.write(msgspec.json.encode(words) + b"\n")
+
+    async def end(self) -> None:
+        self.ending = True
+        self.say(end=True)
+        if self.process is not None:
+            try:
+                async with asyncio.timeout(END_WITHIN):
+                    await self.process.wait()
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+        for task in self.tasks:
+            task.cancel()
+
+
+class FrontProcess:
+    """One front, over all its starts."""
+
+    def __init__(self, rig: Rig, number: int) -> None:
+        self.rig, self.number = rig, number
+        self.folder = rig.folder / f"front-{number}"
+        self.state = self.folder / "state"
+        self.process: asyncio.subprocess.Process | None = None
+        self.serving, self.expected, self.starts, self.since = False, False, 0, 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.first: dict[str, bytes] = {}  # its folder of state as the run began
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def prepare(self) -> None:
+        self.state.mkdir(parents=True)
+        if self.rig.operators:
+            (self.folder / "operator.yaml").write_text(self.rig.operators(self.number, self.rig))
+
+    async def start(self) -> None:
+        """Until it serves: `/ping` answered with 200 on its own address."""
+        rig = self.rig
+        events = [standins.placed(event, self.number, rig.ports["caches"]) for event in rig.events]
+        config = configuration(
+            rig.experiment, rig.variant, rig.seed, self.number, f"{front_address(self.number)}:{rig.port}",
+            f"{pair_address(self.number, 0)}:{rig.ports['log']}", events,
+        )  # fmt: skip
+        path = self.folder / "config.json"
+        path.write_bytes(msgspec.json.encode(config))
+        command = [*rig.command(self.number), "--config", str(path)]
+        if rig.operators:
+            command += ["--operator", str(self.folder / "operator.yaml")]
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
+        began = time.monotonic_ns()
+        self.starts, self.expected = self.starts + 1, False
+        self.process = await asyncio.create_subprocess_exec(
+            *command, cwd=rig.checkout, env=environment, stdin=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE, preexec_fn=child.dies_with_parent,
+        )  # fmt: skip
+        rig.story.starts.append((began, self.number, len(events)))
+        self._spawn(self._log(self.process))
+        self._spawn(self._watch(self.process))
+        address = front_address(self.number), rig.port
+        while not await _ping(address):
+            if not self.alive:
+                return
+            if time.monotonic_ns() - began > START_WITHIN * SECOND:
+                rig.story.crashes.append((self.number, "did not serve"))
+                return
+            await asyncio.sleep(0.02)
+        self.serving = True
+        rig.story.took.append((time.monotonic_ns() - began) / SECOND)
+        rig.relay.say(live="clients", other=self.number, how="open")
+        rig.relay.say(live="peers", other=self.number, how="open")
+        for one in rig.loads:
+            one.say(show=self.number)
+        if self.since:
+            now = time.monotonic_ns()
+            rig.story.downs.append((self.number, self.since, now, "kill"))
+            rig.story.returns.append(now)
+            self.since = 0
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        with (self.folder / "log").open("ab") as file:
+            while line := await process.stderr.readline():
+                file.write(line)
+                file.flush()
+                if CLAIM.encode() in line:
+                    self.rig.story.claims.append((time.monotonic_ns(), self.number))
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        self.serving = False
+        if not self.expected:
+            self.rig.story.crashes.append((self.number, f"ended by itself with {code}"))
+
+    def kill(self) -> None:
+        if self.alive and self.process is not None:
+            self.rig.use("fronts", self.process.pid)
+            self.expected, self.since = True, self.since or time.monotonic_ns()
+            self.process.kill()
+        self._gone()
+
+    def _gone(self) -> None:
+        self.serving = False
+        self.rig.relay.say(live="clients", other=self.number, how="refused")
+        self.rig.relay.say(live="peers", other=self.number, how="refused")
+
+    async def term(self) -> None:
+        """SIGTERM, and until it has ended."""
+        if not self.alive or self.process is None:
+            return
+        self.rig.use("fronts", self.process.pid)
+        self.expected = True
+        self.rig.story.terms.append((self.number, time.monotonic_ns()))
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LEAVES)
+        for one in self.rig.loads:
+            one.say(hide=self.number)
+        try:
+            async with asyncio.timeout(END_WITHIN):
+                code = await self.process.wait()
+            if code:
+                self.rig.story.crashes.append((self.number, f"ended with {code} after SIGTERM"))
+        except TimeoutError:
+            self.rig.story.crashes.append((self.number, "did not end after SIGTERM"))
+            self.process.kill()
+        self.since = self.since or time.monotonic_ns()
+        self._gone()
+
+    def signal(self, number: int) -> None:
+        if self.alive and self.process is not None:
+            self.process.send_signal(number)
+
+
+class Rig:
+    """One run. `command` gives the words that start a front, `operators` its operators' file, if any."""
+
+    def __init__(
+        self,
+        path: str,
+        experiment: Experiment,
+        variant: Variant,
+        seed: int,
+        *,
+        checkout: str | None = None,
+        command: Callable[[int], Sequence[str]] = lambda front: SERVE,
+        operators: Callable[[int, Rig], str] | None = None,
+        keep: str | None = None,
+        progress: Callable[[float], None] = lambda share: None,
+    ) -> None:
+        self.path, self.experiment, self.variant, self.seed = path, experiment, variant, seed
+        self.checkout, self.command, self.operators = checkout or str(ROOT), command, operators
+        self.keep, self.progress = keep, progress
+        self.random = random.Random(f"{seed} {experiment.name} rig")
+        self.story, self.void = Story(), ""
+        self.fronts: list[FrontProcess] = []
+        self.loads: list[Child] = []
+        self.events: list[dict[str, Any]] = []
+        self.ports: dict[str, int] = {}
+        self.port = 0
+        self.used: dict[str, list[tuple[float, float]]] = {}
+        self.waiting: dict[int, Fault] = {}  # faults that wait for a counted event
+        self.pace: dict[str, dict[str, int]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def play(self) -> FleetRun:
+        """Raises RigError where it can't be set up, OperatorError or ValueError for what can't be told."""
+        for zone in range(self.experiment.fleet.zones):
+            settings(self.experiment, zone, self.variant)
+        self.broken = asyncio.Event()
+        self._room()
+        self.folder = self._folder()
+        try:
+            await self._start()
+            await self._run()
+            await self._stop()
+            run = Evidence(self.experiment, self.story, self.folder).run(
+                self.variant.name, self.seed, self.void, self._parts()
+            )
+        finally:
+            await self._end()
+        return run
+
+    # Set up
+
+    def _room(self) -> None:
+        """A fleet whose descriptors do not fit is refused before anything is started."""
+        fleet = self.experiment.fleet
+        pairs = fleet.fronts * (fleet.caches + fleet.parents + 3)
+        wanted = 3 * pairs + SPARE_FILES + (2 * fleet.fronts**2 if self._peers() else 0)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft < wanted <= hard:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+        elif hard < wanted:
+            raise RigError(f"{wanted} descriptors are wanted for so many pairs, {hard} are allowed")
+
+    def _peers(self) -> bool:
+        return self.operators is not None or any(f.path is NetPath.PEERS for f in self.experiment.faults)
+
+    def _folder(self) -> Path:
+        try:
+            if self.keep is None:
+                return Path(tempfile.mkdtemp(prefix="quincepier-fleet-"))
+            folder = Path(self.keep)
+            folder.mkdir(parents=True, exist_ok=False)
+            return folder.resolve()
+        except OSError as error:
+            raise RigError(
+                f"{self.keep or tempfile.gettempdir()} can't be written: {error.strerror}"
+            ) from None
+
+    async def _start(self) -> None:
+        fleet, place = self.experiment.fleet, str(Path(self.path).resolve())
+        wall = time.time_ns() - time.monotonic_ns()
+        self.standins, self.relay = Child("standins", self), Child("relay", self)
+        plan = standins.Plan(str(self.folder), place, self.seed, wall)
+        words = await self.standins.start(standins.__name__, plan)
+        self.events = words["events"]
+        self.port = self._free_port()
+        machines = fleet.caches + fleet.parents + 1
+        net = relay.Plan(
+            str(self.folder), self.keep is None, self.seed, fleet.fronts, machines, words["machines"],
+            words["log"], self.port, self._peers(),
+        )  # fmt: skip
+        self.ports = (await self.relay.start(relay.__name__, net))["ports"]
+        self.standins.say(ports=self.ports)
+        self.fronts = [FrontProcess(self, n) for n in range(fleet.fronts)]
+        for front in self.fronts:
+            front.prepare()
+        await asyncio.gather(*(front.start() for front in self.fronts))
+        if bad := [f.number for f in self.fronts if not f.serving]:
+            log = self.fronts[bad[0]].folder / "log"
+            lines = log.read_text(errors="replace").strip().splitlines() if log.exists() else []
+            raise RigError(f"front {bad[0]} does not start: {lines[-1] if lines else 'it says nothing'}")
+        for front in self.fronts:
+            front.first = disk.read(front.state)
+        count = max(1, math.ceil(self.experiment.load.rate / RATE_EACH))
+        self.loads = [Child(f"load-{n}", self) for n in range(count)]
+        for n, one in enumerate(self.loads):
+            share = load.Plan(str(self.folder), place, self.seed, count, n, self.ports["clients"])
+            await one.start(load.__name__, share)
+
+    def _free_port(self) -> int:
+        """One that is free on every front's address now."""
+        for _ in range(20):
+            with contextlib.ExitStack() as stack:
+                first = stack.enter_context(socket.socket())
+                first.bind((front_address(0), 0))
+                port: int = first.getsockname()[1]
+                try:
+                    for n in range(1, self.experiment.fleet.fronts):
+                        stack.enter_context(socket.socket()).bind((front_address(n), port))
+                except OSError:
+                    continue
+                return port
+        raise RigError(f"no port is free on {front_address(0)} and the addresses after it")
+
+    # The run
+
+    async def _run(self) -> None:
+        seconds = self.experiment.seconds
+        self.story.start = time.monotonic_ns() + SECOND // 5
+        self.story.returns.clear()
+        for one in self.loads:
+            one.say(begin=self.story.start)
+        for n, fault in enumerate(self.experiment.faults):
+            self._spawn(self._await(n, fault))
+        longest = max(c.deadline_ms for c in self.experiment.classes) / 1000 + 1.0
+        while not self.broken.is_set():
+            spent = (time.monotonic_ns() - self.story.start) / SECOND
+            self.progress(min(max(spent / (seconds + longest), 0.0), 1.0))
+            if spent >= seconds:
+                for one in self.loads:
+                    one.say(pace=True)
+                if spent >= seconds + longest or (
+                    self.pace and not any(p["open"] for p in self.pace.values())
+                ):
+                    break
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.broken.wait(), 0.2)
+        for one in self.loads:
+            one.say(pace=True)
+        await asyncio.sleep(0.2)
+        self.progress(1.0)
+        sent, behind = (sum(p[key] for p in self.pace.values()) for key in ("sent", "behind"))
+        if behind > load.BEHIND_PART * max(sent, 1):
+            self.void = self.void or f"the load can't keep its pace: {behind} of {sent} arrivals were late"
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+
+        def done(task: asyncio.Task[None]) -> None:
+            self.tasks.discard(task)
+            if not task.cancelled() and (error := task.exception()) is not None:
+                self.void = self.void or f"the rig failed: {type(error).__name__}: {error}"
+                self.broken.set()
+
+        task.add_done_callback(done)
+
+    def heard(self, one: Child, words: dict[str, Any]) -> None:
+        if "event" in words:
+            self.events.append(words["event"])
+        elif "live" in words or "machines" in words:
+            self.relay.say(**words)
+        elif "strike" in words and words["strike"] in self.waiting:
+            self._spawn(self._strike(self.waiting.pop(words["strike"])))
+        elif "sent" in words:
+            self.pace[one.name] = words
+
+    async def _await(self, number: int, fault: Fault) -> None:
+        await asyncio.sleep(max(self.story.start / SECOND + fault.at - time.monotonic(), 0))
+        if fault.on is not None:
+            self.waiting[number] = fault
+            self.standins.say(arm=number, what=fault.on.value, nth=fault.nth)
+        else:
+            await self._strike(fault)
+
+    async def _strike(self, fault: Fault) -> None:
+        fronts = fault.kind in ON_FRONTS or fault.kind in ON_PATHS
+        self.story.marks.append((time.monotonic_ns(), fault.kind.value, fronts))
+        if fault.kind is Kind.RUSH:
+            for one in self.loads:
+                one.say(rush=fault.size)
+            await asyncio.sleep(fault.lasts)
+            for one in self.loads:
+                one.say(rush=1.0)
+        elif not fronts:
+            self.standins.say(strike=fault)
+        else:
+            count = min(max(round(fault.part * len(self.fronts)), 1), len(self.fronts))
+            struck = sorted(self.random.sample(range(len(self.fronts)), count))
+            if fault.kind in ON_PATHS:
+                await self._on_path(fault, struck)
+            else:
+                await self._on_fronts(fault, [self.fronts[n] for n in struck])
+
+    async def _on_path(self, fault: Fault, struck: list[int]) -> None:
+        words = {"kind": fault.kind.value, "path": fault.path.value, "way": fault.way.value, "fronts": struck,
+                 "size": fault.size}  # fmt: skip
+        self.relay.say(**words, heal=False)
+        await asyncio.sleep(fault.lasts)
+        self.relay.say(**words, heal=True)
+        self.story.returns.append(time.monotonic_ns())
+
+    async def _on_fronts(self, fault: Fault, struck: list[FrontProcess]) -> None:
+        if fault.kind is Kind.KILL:
+            for front in struck:  # all at once, then what follows
+                front.kill()
+            await asyncio.gather(*(self._again(front, fault) for front in struck))
+        elif fault.kind in (Kind.TERM, Kind.ROLL):
+            apart = fault.lasts / len(struck) if fault.kind is Kind.ROLL else 0.0
+            await asyncio.gather(*(self._term(front, fault, n * apart) for n, front in enumerate(struck)))
+        elif fault.kind is Kind.PAUSE:
+            await asyncio.gather(*(self._pause(front, fault.lasts) for front in struck))
+            self.story.returns.append(time.monotonic_ns())
+        else:
+            until = time.monotonic() + fault.lasts
+
+            async def starve(front: FrontProcess) -> None:
+                while time.monotonic() < until:
+                    await self._pause(front, fault.size / 1000)
+                    await asyncio.sleep(fault.size / 1000)
+
+            await asyncio.gather(*map(starve, struck))
+            self.story.returns.append(time.monotonic_ns())
+
+    async def _again(self, front: FrontProcess, fault: Fault) -> None:
+        """Down for a while, its folder of state struck meanwhile, then started anew."""
+        noticed = min(self.experiment.fleet.noticed_s, max(fault.lasts, 0.0))
+        starts = front.starts
+        if front.process is not None:
+            await front.process.wait()
+        await asyncio.sleep(noticed)
+        self._spawn(self._hide(front, self.experiment.fleet.noticed_s - noticed))
+        await asyncio.sleep(max(fault.lasts - noticed, 0.0))
+        disk.strike(front.state, fault.state, front.first, self.random)
+        if front.starts == starts:
+            await front.start()
+
+    async def _hide(self, front: FrontProcess, wait: float) -> None:
+        await asyncio.sleep(wait)
+        if not front.serving:
+            for one in self.loads:
+                one.say(hide=front.number)
+
+    async def _term(self, front: FrontProcess, fault: Fault, wait: float) -> None:
+        await asyncio.sleep(wait)
+        starts = front.starts
+        await front.term()
+        await asyncio.sleep(fault.lasts if fault.kind is Kind.TERM else 0.0)
+        disk.strike(front.state, fault.state, front.first, self.random)
+        if front.starts == starts:
+            await front.start()
+
+    async def _pause(self, front: FrontProcess, lasts: float) -> None:
+        since = time.monotonic_ns()
+        front.signal(signal.SIGSTOP)
+        await asyncio.sleep(lasts)
+        front.signal(signal.SIGCONT)
+        self.story.stops.append((front.number, since, time.monotonic_ns()))
+
+    # The end
+
+    def use(self, part: str, pid: int) -> None:
+        """Note what a process has used, while it is there to be asked."""
+        try:
+            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+            lines = dict(
+                line.split(":", 1)
+                for line in Path(f"/proc/{pid}/status").read_text().splitlines()
+                if ":" in line
+            )
+        except OSError:
+            return
+        cpu = (int(fields[11]) + int(fields[12])) * TICKS / 1e9
+        self.used.setdefault(part, []).append((cpu, int(lines.get("VmHWM", "0 kB").split()[0]) / 1024))
+
+    def _parts(self) -> dict[str, Part]:
+        return {
+            name: Part(len(used), round(sum(u[0] for u in used), 2), round(max(u[1] for u in used), 1))
+            for name, used in self.used.items()
+        }
+
+    async def _stop(self) -> None:
+        for task in list(self.tasks):  # faults that last past the end
+            task.cancel()
+        for front in self.fronts:
+            front.signal(signal.SIGCONT)
+        for one in (self.standins, self.relay, *self.loads):
+            if one.process is not None:
+                self.use(one.name.split("-")[0], one.process.pid)
+        if not self.void:
+            await asyncio.gather(*(front.term() for front in self.fronts))
+        for one in (*self.loads, self.standins, self.relay):
+            await one.end()
+
+    async def _end(self) -> None:
+        """Whatever happened before: nothing is left."""
+        for task in list(self.tasks):
+            task.cancel()
+        waits: list[Awaitable[Any]] = []
+        for front in self.fronts:
+            front.expected = True
+            if front.alive and front.process is not None:
+                front.process.kill()
+                waits.append(front.process.wait())
+            for task in list(front.tasks):
+                task.cancel()
+        for one in (*self.loads, *(getattr(self, n) for n in ("standins", "relay") if hasattr(self, n))):
+            if one.process is not None and one.process.returncode is None:
+                waits.append(one.end())
+            for task in one.tasks:
+                task.cancel()
+        await asyncio.gather(*waits, return_exceptions=True)
+        if self.keep is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+async def _ping(address: tuple[str, int]) -> bool:
+    """Whether a front answers `/ping` with 200."""
+    values = {"SCRIPT_NAME": "/ping"}
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(load.call(1, values))
+                out = b""
+                while True:
+                    kind, size, padding = struct.unpack(">xBxxHBx", await reader.readexactly(8))
+                    content = (await reader.readexactly(size + padding))[:size]
+                    if kind == load.END:
+                        return out.startswith(b"Status: 200")
+                    out += content
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return False
--- a/quincepier/lab/judge.py
+++ b/quincepier/lab/judge.py
@@ -21,6 +21,7 @@
     request: int
     why: str
     timeline: tuple[str, ...]
+    front: int | None = None  # whose request it was
 
 
 @dataclass(slots=True)
@@ -49,7 +50,8 @@
         self.count += 1
         if len(self.broken) < KEPT_MOST:
             trace = self.traces.get(request)
-            self.broken.append(Broken(rule, request, why, tuple(trace.lines) if trace else ()))
+            lines, front = (tuple(trace.lines), trace.front) if trace else ((), None)
+            self.broken.append(Broken(rule, request, why, lines, front))
 
     def _note(self, now: int, request: int, text: str) -> None:
         trace = self.traces.get(request)
@@ -128,6 +130,10 @@
         """Rule four: a cold machine was pushed over."""
         self._break("cold", by, f"machine {machine} fell over at {now / SECOND:.3f}")
 
+    def accuse(self, rule: str, request: int, why: str) -> None:
+        """Of what only the processes show: who heard it worked out that the rule is broken."""
+        self._break(rule, request, why)
+
     def looked_cold(self) -> None:
         self.checked["cold"] += 1
 
--- a/quincepier/lab/returns.py
+++ b/quincepier/lab/returns.py
@@ -1,6 +1,6 @@
 """How a fleet comes back: stampede factors and the time to full service, from counts alone; no clock.
 
-Times are nanoseconds of the run. Before the first fault is what is usual.
+Times are nanoseconds of the run. Until the first fault of any kind all is as usual.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 
     def __init__(self, start: int) -> None:
         self.start = start
+        self.calm: int | None = None  # until when all is as usual: the first fault of any kind
         self.fault: int | None = None  # the first one on fronts
         self.back: int | None = None  # when the last front that was down served again
         self.series: dict[str, list[int]] = defaultdict(list)
@@ -30,8 +31,10 @@
     def count(self, what: str, now: int) -> None:
         self.series[what].append(now)
 
-    def struck(self, now: int) -> None:
-        if self.fault is None:
+    def struck(self, now: int, fronts: bool) -> None:
+        if self.calm is None:
+            self.calm = now
+        if self.fault is None and fronts:
             self.fault = now
 
     def returned(self, now: int) -> None:
@@ -42,11 +45,11 @@
 
     def usual_rate(self, what: str) -> float | None:
         """Events a second before the fault; None where too few tell."""
-        if self.fault is None:
+        if self.calm is None:
             return None
         since = self.start + SETTLE
-        seen = sum(since <= at < self.fault for at in self.series[what])
-        return seen * SECOND / (self.fault - since) if seen >= USUAL_LEAST and self.fault > since else None
+        seen = sum(since <= at < self.calm for at in self.series[what])
+        return seen * SECOND / (self.calm - since) if seen >= USUAL_LEAST and self.calm > since else None
 
     def stampede(self, what: str) -> float | None:
         """The greatest rate of any 500 ms from the fault on, over the usual one."""
@@ -60,9 +63,9 @@
 
     def usual_service(self) -> float | None:
         """The share of worth served of what came before the fault."""
-        if self.fault is None:
+        if self.calm is None:
             return None
-        before = [w for w in self.worth if self.start + SETTLE <= w[0] < self.fault]
+        before = [w for w in self.worth if self.start + SETTLE <= w[0] < self.calm]
         asked = sum(w[1] for w in before)
         return sum(w[2] for w in before) / asked if asked else None
 
--- a/quincepier/lab/world.py
+++ b/quincepier/lab/world.py
@@ -37,7 +37,7 @@
 
 AFTER = 6 * SECOND  # played after the last arrival, so that all is answered
 DRAIN = 750 * MS  # a front that is told to end serves on for so long
-POLL = 5 * SECOND  # a front's call to the change log ends after this at the latest
+POLL = SECOND  # a front's call to the change log ends after this at the latest
 LEAST_PART = 0.8  # of `start_s`: starts are spread from there to 1.2 times
 
 
@@ -403,6 +403,7 @@
 
     def _strike(self, fault: Fault) -> None:
         self.tally.mark(self.now, fault.kind.value)
+        self.tally.returns.struck(self.now, fault.kind in ON_FRONTS)
         lasts = int(fault.lasts * SECOND)
         if fault.kind in ON_MACHINES:
             self.machines.strike(fault)
@@ -418,7 +419,6 @@
             self.after(lasts, self._rush_over)
 
     def _strike_fronts(self, fault: Fault, lasts: int) -> None:
-        self.tally.returns.struck(self.now)
         count = min(max(round(fault.part * len(self.fronts)), 1), len(self.fronts))
         struck = sorted(self.random.sample(self.fronts, count), key=lambda f: f.number)
         for n, front in enumerate(struck):
