--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -149,7 +149,7 @@
     path: Path = Path.CACHES
     way: Way = Way.BOTH
     state: Kept = Kept.KEEP
-    on: Counted | None = None  # strikes at the `nth` such event from `at` on
+    counted: Counted | None = None  # strikes at the `nth` such event from `at` on
     nth: Count = 1
 
     def __post_init__(self) -> None:
--- a/quincepier/lab/fleet/evidence.py
+++ b/quincepier/lab/fleet/evidence.py
@@ -133,7 +133,7 @@
             getattr(self, f"_{what}", self._pass)(when, *about)
         self._claims()
         for front, why in self.story.crashes:
-            self.judge.accuse("crash", -1, f"front {front} {why}")
+            self.judge.accuse("crash", -1, f"front {front} {why}", front)
         self.judge.end(self._at(self.last))
 
     def _pass(self, when: int, *about: Any) -> None:
@@ -177,7 +177,7 @@
             jobs.pop(job, None)
 
     def _surplus(self, when: int, front: int, kind: int) -> None:
-        self.judge.accuse("answer", -1, f"front {front} says more after a request's end")
+        self.judge.accuse("answer", -1, f"front {front} says more after a request's end", front)
 
     def _left(self, when: int, job: int) -> None:
         """Past its time and the client's patience: never answered, unless it is excused."""
@@ -263,7 +263,7 @@
             self.judge.checked["claim"] += 1
             if usual and len(after) >= CLAIM_LEAST and served < CLAIM_SHARE * FULL * usual * asked:
                 share = f"{served / asked:.2f} of {usual:.2f}"
-                self.judge.accuse("claim", -1, f"front {front} says full service and serves {share}")
+                self.judge.accuse("claim", -1, f"front {front} says full service and serves {share}", front)
 
     def run(self, variant: str, seed: int, void: str, parts: dict[str, Part]) -> FleetRun:
         self.hear()
@@ -271,11 +271,6 @@
         for at in story.returns:
             self.tally.returns.returned(self._at(at))
         self.tally.finish(self.judge, "", len(self.notes), self.strain)
-        accused: dict[str, set[int]] = defaultdict(set)
-        for b in self.judge.broken:
-            words = b.why.split()
-            front = b.front if b.front is not None else int(words[1]) if words[0] == "front" else -1
-            accused[b.rule].add(front)
         halves = int(experiment.seconds * 2) + 1
         series = {}
         for what, times in self.tally.returns.series.items():
@@ -303,5 +298,5 @@
             percentiles_ms={f"{p:g}": self.histogram.get_value_at_percentile(p) / 1000 for p in PERCENTILES},
             parts=parts,
             starts_s=tuple(round(t, 3) for t in story.took),
-            accused={rule: tuple(sorted(fronts)) for rule, fronts in accused.items()},
+            accused={rule: tuple(sorted(fronts)) for rule, fronts in self.judge.accused.items()},
         )
--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -414,9 +414,9 @@
 
     async def _await(self, number: int, fault: Fault) -> None:
         await asyncio.sleep(max(self.story.start / SECOND + fault.at - time.monotonic(), 0))
-        if fault.on is not None:
+        if fault.counted is not None:
             self.waiting[number] = fault
-            self.standins.say(arm=number, what=fault.on.value, nth=fault.nth)
+            self.standins.say(arm=number, what=fault.counted.value, nth=fault.nth)
         else:
             await self._strike(fault)
 
--- a/quincepier/lab/fleet/standins.py
+++ b/quincepier/lab/fleet/standins.py
@@ -61,7 +61,7 @@
         self.hall, self.buffer, self.front = hall, b"", 0
         self.machine: Machine | None = None
         self.transport: asyncio.Transport | None = None
-        self.open: dict[str, Order] = {}
+        self.open: dict[int, Order] = {}  # by serial: an id that comes twice is served twice
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         self.transport = transport
@@ -90,8 +90,8 @@
                 continue
             self.buffer = self.buffer[stop + 2 :]
             if words[0] == "cancel":
-                order = self.open.pop(words[1], None)
-                if order is not None:
+                for order in [o for o in self.open.values() if o.id == words[1]]:
+                    del self.open[order.serial]
                     self.hall.machines.stop(order)
             elif self.transport is not None and self.machine is not None and self.machine.state == "up":
                 self.transport.write(f"{words[1]} well - 0\r\n\r\n".encode())
@@ -111,11 +111,11 @@
         order.source = source.number if source else None
         via = source.index if source else 0
         hall.notes.note("sent", order.number, self.front, machine.index, via, order.serial)
-        self.open[id] = order
+        self.open[order.serial] = order
         hall.after(hall.way(machine), hall.reach, order)
 
     def answer(self, order: Order, ending: Ending, note: Note, waited: int, minted: int | None) -> None:
-        if self.transport is None or self.open.pop(order.id, None) is not order:
+        if self.transport is None or self.open.pop(order.serial, None) is None:
             return
         hall = self.hall
         if ending not in WORDS:
@@ -161,7 +161,7 @@
         return int((fleet.near_ms if machine.kind == EDGE else fleet.far_ms) * MS)
 
     def reach(self, order: Order) -> None:
-        if order.door.open.get(order.id) is order:
+        if order.serial in order.door.open:
             self.machines.reach(order)
 
     def reply(self, order: Order, ending: Ending, note: Note, waited: int, minted: int | None) -> None:
--- a/quincepier/lab/judge.py
+++ b/quincepier/lab/judge.py
@@ -21,7 +21,6 @@
     request: int
     why: str
     timeline: tuple[str, ...]
-    front: int | None = None  # whose request it was
 
 
 @dataclass(slots=True)
@@ -44,14 +43,15 @@
         self.purges: dict[int, list[tuple[int, dict[int, int]]]] = defaultdict(list)  # by group; see purged
         self.broken: list[Broken] = []
         self.count = 0
+        self.accused: dict[str, set[int]] = defaultdict(set)  # fronts by the rule they broke; -1: not known
         self.checked: dict[str, int] = defaultdict(int)  # how often each rule was looked at
 
-    def _break(self, rule: str, request: int, why: str) -> None:
+    def _break(self, rule: str, request: int, why: str, front: int = -1) -> None:
         self.count += 1
+        self.accused[rule].add(self.traces[request].front if request in self.traces else front)
         if len(self.broken) < KEPT_MOST:
             trace = self.traces.get(request)
-            lines, front = (tuple(trace.lines), trace.front) if trace else ((), None)
-            self.broken.append(Broken(rule, request, why, lines, front))
+            self.broken.append(Broken(rule, request, why, tuple(trace.lines) if trace else ()))
 
     def _note(self, now: int, request: int, text: str) -> None:
         trace = self.traces.get(request)
@@ -130,9 +130,9 @@
         """Rule four: a cold machine was pushed over."""
         self._break("cold", by, f"machine {machine} fell over at {now / SECOND:.3f}")
 
-    def accuse(self, rule: str, request: int, why: str) -> None:
-        """Of what only the processes show: who heard it worked out that the rule is broken."""
-        self._break(rule, request, why)
+    def accuse(self, rule: str, request: int, why: str, front: int = -1) -> None:
+        """Of what only processes show: who heard it worked out that the rule is broken."""
+        self._break(rule, request, why, front)
 
     def looked_cold(self) -> None:
         self.checked["cold"] += 1
--- a/quincepier/lab/returns.py
+++ b/quincepier/lab/returns.py
@@ -13,7 +13,7 @@
 SECOND = 1_000_000_000
 FULL, HOLDS = 0.97, 3  # of the usual share of worth served; for so many seconds
 STEP = SECOND // 10  # between the seconds that are looked at
-SETTLE = SECOND  # after the run's start until what is seen counts as usual
+SETTLES = 3  # the first third of the time before any fault: connections and stores are made then
 USUAL_LEAST = 5  # events before the fault; fewer tell no usual rate
 
 
@@ -47,7 +47,7 @@
         """Events a second before the fault; None where too few tell."""
         if self.calm is None:
             return None
-        since = self.start + SETTLE
+        since = self.start + (self.calm - self.start) // SETTLES
         seen = sum(since <= at < self.calm for at in self.series[what])
         return seen * SECOND / (self.calm - since) if seen >= USUAL_LEAST and self.calm > since else None
 
@@ -65,7 +65,8 @@
         """The share of worth served of what came before the fault."""
         if self.calm is None:
             return None
-        before = [w for w in self.worth if self.start + SETTLE <= w[0] < self.calm]
+        since = self.start + (self.calm - self.start) // SETTLES
+        before = [w for w in self.worth if since <= w[0] < self.calm]
         asked = sum(w[1] for w in before)
         return sum(w[2] for w in before) / asked if asked else None
 
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,84 @@
+"""Fronts with one fault each, as processes: `python -m tests.mutants FAULT --config FILE`; for the judge."""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from loguru import logger
+
+from quincepier import __main__, policy
+from quincepier import interface as io
+from quincepier.lifecycle import front
+from quincepier.net import client
+from quincepier.wire import changelog, fastcgi, lines
+
+
+def twice() -> None:
+    plain = client.Outgoing._pieces
+
+    def pieces(self: client.Outgoing, head: bytes) -> Iterator[bytes]:
+        yield from plain(self, head)
+        yield fastcgi.record(3, self.stream, bytes(8))  # END_REQUEST; the right one follows
+
+    client.Outgoing._pieces = pieces  # type: ignore[method-assign]
+
+
+def bids() -> None:
+    plain = lines.serve
+
+    def serve(id: str, fields: Any, body: bytes) -> bytes:
+        listed = list(fields)
+        return plain(id, listed, body) * (2 if ("class", "bid") in listed else 1)
+
+    lines.serve = serve
+
+
+def drains() -> None:
+    changelog.STATES["DRAINING"] = changelog.STATES["SERVING"]
+
+
+def purges() -> None:
+    policy.Router.oldest = lambda self, req, stale: 0  # type: ignore[method-assign]
+
+
+def cold() -> None:
+    policy.Router.room = lambda self, node: True  # type: ignore[method-assign]
+
+
+def silent() -> None:
+    client.ClientConnection.push = lambda self, answer: None  # type: ignore[method-assign]
+
+
+def claims() -> None:
+    plain, chance = policy.Router.came, random.Random(1)
+
+    def came(self: policy.Router, e: io.RequestCame) -> None:
+        if chance.random() < 0.6:
+            self.out.append(io.Refuse(e.request, 0))
+        else:
+            plain(self, e)
+
+    def serve(self: front.Front) -> Any:
+        logger.info("full service after 0 ms")
+        return served(self)
+
+    served, front.Front.serve = front.Front.serve, serve  # type: ignore[method-assign]
+    policy.Router.came = came  # type: ignore[method-assign]
+
+
+FAULTS: dict[str, Callable[[], None]] = {
+    "answer twice": twice,
+    "bid repeated": bids,
+    "past the grace": drains,
+    "purged copy": purges,
+    "cold pushed over": cold,
+    "never answers": silent,
+    "claims at once": claims,
+}
+
+if __name__ == "__main__":
+    FAULTS[sys.argv[1]]()
+    sys.exit(__main__.main(["serve", *sys.argv[2:]]))
