--- a/quincepier/lab/report.py
+++ b/quincepier/lab/report.py
@@ -66,7 +66,7 @@
         axes.plot(times, [2 * c for c in counts], label=what, color=COLOURS.get(what), lw=1.3)
     axes.set_yscale("symlog", linthresh=10)
     axes.set_ylim(bottom=0)
-    axes.legend(frameon=False, fontsize=8, loc="upper right")
+    axes.legend(frameon=False, fontsize=8, loc="lower center", bbox_to_anchor=(0.5, 1.06), ncol=4)
     return _svg(axes)
 
 
