A fill is overdue by the pace of all fills; an answer counts once on a shared link

A probe of endings by two seconds showed 34 of 757 caches cold, so cold budgets are not it; 383 of 635 broken fills came from parents heard of meanwhile.

Cause: policy.watch took a fill as overdue by its own class alone, though all fills were slow; policy.learn took each answer to be one of as many on its link as there are fronts, so sending times were learnt as 31 ms where 80 are true, and cold budgets are spent by them.

Change: a fill is overdue by the pace of all fills; what this front has beside an answer counts for each front, the answer once.

--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -479,7 +479,8 @@
         self.compare(attempt, e, from_cache)
         if from_cache:
             remember(self.hits, (node.member.cache, attempt.req.key), self.now, self.now - HIT_MEMORY)
-            slowed = (len(node.out) + 1) * self.sharers(node) / self.size(node)
+            # others like ours are on its link for each front, this one is there once
+            slowed = (len(node.out) * self.sharers(node) + 1) / self.size(node)
             own = attempt.req.told or e.elapsed / max(slowed if self.s.sizes_compare else 1.0, 1.0)  # shared
             self.samples[n := attempt.req.e.cls] += 1
             self.work[n] += max(WORK_NEW, 1 / self.samples[n]) * (own - self.work[n])
@@ -551,10 +552,12 @@
         late, self.watching = Counter[Node](), False
         self.weigh()
         self.reweigh()
+        slow = self.fetch.times(self.now)
         for a in self.attempts.values():  # the oldest first
             if a.at > self.now - SECOND or self.now - self.watched > WATCH_EVERY:  # answers are still to come
                 break
-            if a.at <= self.now - self.aim(a.req) and not a.req.begun:
+            # while all fills are slow, one that is as slow says nothing against its source
+            if a.at <= self.now - self.aim(a.req) * (slow if a.fill else 1) and not a.req.begun:
                 # a source is silent only if its asker is not
                 silent = a.node if a.node.heard <= a.at else a.source if a.fill else None
                 if silent is not None and silent.heard <= a.at:
--- a/tests/test_policy_mechanism.py
+++ b/tests/test_policy_mechanism.py
@@ -498,3 +498,40 @@
         bench.router.nodes[cache].suspect, bench.router.nodes[cache].trial_at = True, bench.now + 99 * SECOND
     (answer,) = (a for a in bench.ask(1) if not isinstance(a, io.SetTimer))
     assert isinstance(answer, io.Refuse) and answer.retry_after == 0
+
+
+@pytest.mark.parametrize("slow", [False, True])
+def test_a_source_no_slower_than_all_fills_is_not_taken_for_silent(slow: bool) -> None:
+    """While hundreds of fronts filled at once every parent was slow; each front set two or three of seven
+    aside, called off what waited there and asked for it anew elsewhere, which kept the rest slow."""
+    bench = Bench(make_settings(fronts=1, fronts_by_zone=(0, 1)))
+    for n in range(40):
+        (sent,) = attempts(bench.ask(n, obj=n))
+        bench.end(sent, Ending.OK, Note.FILLED, elapsed=(120 if slow and n >= 25 else 50) * MS)
+        bench.now += 50 * MS
+    waiting = [a for n in range(100, 140) for a in attempts(bench.ask(n, obj=n))]
+    assert len(waiting) > 8
+    for a in waiting:  # the caches themselves are heard from
+        bench.router.nodes[a.cache].heard = bench.now + 1
+    bench.wait(1700 * MS)
+    parents = [bench.router.nodes[p].suspect for p in PARENTS]
+    assert not any(parents) if slow else all(parents)
+
+
+@pytest.mark.parametrize(("others", "own"), [(0, 80), (1, 80 / (7 / 1.5))])
+def test_a_hit_counts_once_on_a_link_that_many_fronts_share(others: int, own: float) -> None:
+    """Counted once for each front, an answer alone on its link taught a third of its sending time; by such
+    work six fronts pushed cold caches over together."""
+    small = tuple(replace(m, size=1.5) for m in fleet())
+    bench = Bench(make_settings(fronts=6, fronts_by_zone=(0, 6), client_kb_per_s=0.0), small)
+    for n in range(30):
+        (sent,) = attempts(bench.ask(n, obj=n))
+        node = bench.router.nodes[sent.cache]
+        beside = {
+            (1000 + k, 0): Attempt(bench.router.requests[n], 0, bench.now, node, None) for k in range(others)
+        }
+        node.out.update(beside)
+        bench.end(sent, Ending.OK, Note.HIT, elapsed=80 * MS)
+        for key in beside:
+            del node.out[key]
+    assert bench.router.work[0] == pytest.approx(own * MS, rel=0.01)
