--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from pathlib import Path as FilePath
+from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
@@ -55,7 +55,7 @@
 )
 
 
-class Path(Enum):
+class NetPath(Enum):
     """Where a fault of the net strikes."""
 
     CLIENTS = "clients"
@@ -70,7 +70,7 @@
     BOTH = "both"
 
 
-class Kept(Enum):
+class Disk(Enum):
     """What becomes of a front's folder of state while it is down."""
 
     KEEP = "keep"
@@ -146,9 +146,9 @@
     part: Share = 0.25
     lasts: AtLeast0 = 10.0
     size: AtLeast0 = 4.0
-    path: Path = Path.CACHES
+    path: NetPath = NetPath.CACHES
     way: Way = Way.BOTH
-    state: Kept = Kept.KEEP
+    state: Disk = Disk.KEEP
     counted: Counted | None = None  # strikes at the `nth` such event from `at` on
     nth: Count = 1
 
@@ -244,7 +244,7 @@
 def load(path: str) -> Experiment:
     """Raises OperatorError with all that is wrong, each with line and key."""
     try:
-        text = FilePath(path).read_text(encoding="utf-8")
+        text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise OperatorError([f"{path}: can't be read: {error}"]) from None
     return read_struct(text, path, Experiment)
--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -27,8 +27,7 @@
 
 import quincepier
 from quincepier.config import SettingsError
-from quincepier.lab.experiment import ON_FRONTS, ON_PATHS, SECOND, Experiment, Fault, Kind, Variant
-from quincepier.lab.experiment import Path as NetPath
+from quincepier.lab.experiment import ON_FRONTS, ON_PATHS, SECOND, Experiment, Fault, Kind, NetPath, Variant
 from quincepier.lab.fleet import child, disk, load, relay, standins
 from quincepier.lab.fleet.evidence import Evidence, FleetRun, Part, Story
 from quincepier.lab.fleet.places import front_address, pair_address
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,7 +21,7 @@
 
 from quincepier.config import read_front
 from quincepier.lab import report
-from quincepier.lab.experiment import Experiment, Fault, Kept, Kind, Variant, load
+from quincepier.lab.experiment import Disk, Experiment, Fault, Kind, Variant, load
 from quincepier.lab.fleet import disk, relay, rig
 from quincepier.lab.fleet.evidence import FleetRun
 from quincepier.lab.fleet.places import front_address, pair_address, pair_of
@@ -144,18 +144,18 @@
     first = disk.read(folder)
     (folder / "a").write_bytes(b"x" * 60)
     (folder / "b").write_bytes(b"y" * 10)
-    disk.strike(folder, Kept.KEEP, first, chance)
+    disk.strike(folder, Disk.KEEP, first, chance)
     assert set(disk.read(folder)) == {"a", "b"}
-    disk.strike(folder, Kept.FLIP, first, chance)
+    disk.strike(folder, Disk.FLIP, first, chance)
     flipped = disk.read(folder)["a"]
     assert len(flipped) == 60 and sum(byte != ord("x") for byte in flipped) == 1
-    disk.strike(folder, Kept.CUT, first, chance)
+    disk.strike(folder, Disk.CUT, first, chance)
     assert [len(c) for c in disk.read(folder).values()] == [30, 5]
-    disk.strike(folder, Kept.OLDER, first, chance)
+    disk.strike(folder, Disk.OLDER, first, chance)
     assert disk.read(folder) == first
-    disk.strike(folder, Kept.READ_ONLY, first, chance)
+    disk.strike(folder, Disk.READ_ONLY, first, chance)
     assert folder.stat().st_mode & 0o777 == 0o500
-    disk.strike(folder, Kept.EMPTY, first, chance)
+    disk.strike(folder, Disk.EMPTY, first, chance)
     assert disk.read(folder) == {}
 
 
