Stampede factors at the one machine where they are greatest, beside those of the fleet

Need: fills and dials have to be told for each parent and cache; a mean over the fleet hides the one that is struck.

Measured: the tests of the rig and of the counts pass.

--- a/quincepier/lab/fleet/command.py
+++ b/quincepier/lab/fleet/command.py
@@ -108,9 +108,10 @@
             ),
             highlight=False,
         )
-        table = Table("stampede", "usually a second", "factor")
+        table = Table("stampede", "usually a second", "factor", "at the worst machine")
         for what, factor in f.stampede.items():
-            table.add_row(what, f"{f.usual[what]:.1f}", f"{factor:.2f}")
+            worst = f"{f.stampede_worst[what]:.2f}" if what in f.stampede_worst else ""
+            table.add_row(what, f"{f.usual[what]:.1f}", f"{factor:.2f}", worst)
         out.print(table)
     if run.void:
         out.print(f"  [red]void[/red]: {run.void}", highlight=False)
--- a/quincepier/lab/fleet/evidence.py
+++ b/quincepier/lab/fleet/evidence.py
@@ -231,10 +231,10 @@
     # What it adds up to
 
     def _dial(self, when: int, front: int, machine: int) -> None:
-        self.tally.returns.count("dials", self._at(when))
+        self.tally.returns.count("dials", self._at(when), machine)
 
-    def _fill(self, when: int, kind: int) -> None:
-        self.tally.filled(self._at(when), kind == ORIGIN)
+    def _fill(self, when: int, kind: int, source: int) -> None:
+        self.tally.filled(self._at(when), kind == ORIGIN, source)
 
     def _fetch(self, when: int) -> None:
         self.tally.fetched(self._at(when))
--- a/quincepier/lab/fleet/standins.py
+++ b/quincepier/lab/fleet/standins.py
@@ -210,7 +210,7 @@
     def filled(self, machine: int, source: int) -> None:
         self.counted("fills")
         at = self.machines.all.get(source)
-        self.notes.note("fill", at.kind if at else -1)
+        self.notes.note("fill", at.kind if at else -1, at.index if at else 0)
 
     def fetched(self, by: int) -> None:
         self.notes.note("fetch")
--- a/quincepier/lab/report.py
+++ b/quincepier/lab/report.py
@@ -14,6 +14,7 @@
 from matplotlib.axes import Axes
 
 from quincepier.lab.fleet.evidence import FleetRun
+from quincepier.lab.tally import Figures
 
 WIDE = 9.6  # inches
 COLOURS = {"work at the origin": "#b3412e", "fills at parents": "#d98c2b", "dials": "#3f6fb0",
@@ -85,6 +86,10 @@
     return "".join([*lines, "</table>"])
 
 
+def _worst(figures: Figures, what: str) -> str:
+    return f"{figures.stampede_worst[what]:.2f}" if what in figures.stampede_worst else ""
+
+
 def verdict(run: FleetRun) -> str:
     if run.void:
         return f"void: {run.void}"
@@ -110,11 +115,14 @@
     yield "<h2>Fills, dials and calls by time</h2>" + _counts(run)
     if run.downs:
         yield "<h2>Fronts that were down</h2>" + _downs(run)
-    rows = [(what, f"{f.usual.get(what, 0):.1f}", f"{factor:.2f}") for what, factor in f.stampede.items()]
+    rows = [
+        (what, f"{f.usual.get(what, 0):.1f}", f"{factor:.2f}", _worst(f, what))
+        for what, factor in f.stampede.items()
+    ]
     if rows:
         yield "<h2>Stampede factors</h2>"
         yield "<p>Greatest 500 ms after the first fault on fronts over the mean before any fault.</p>"
-        yield _table(("what", "usually a second", "factor"), rows)
+        yield _table(("what", "usually a second", "factor", "at the worst machine"), rows)
     yield "<h2>Times of what was served</h2>"
     yield _table(("percentile", "ms"), [(p, f"{ms:.1f}") for p, ms in run.percentiles_ms.items()])
     yield "<h2>What each part used</h2>"
--- a/quincepier/lab/returns.py
+++ b/quincepier/lab/returns.py
@@ -26,10 +26,13 @@
         self.fault: int | None = None  # the first one on fronts
         self.back: int | None = None  # when the last front that was down served again
         self.series: dict[str, list[int]] = defaultdict(list)
+        self.at: dict[str, dict[int, list[int]]] = defaultdict(lambda: defaultdict(list))  # by machine
         self.worth: list[tuple[int, float, float]] = []  # when it first came, asked, served
 
-    def count(self, what: str, now: int) -> None:
+    def count(self, what: str, now: int, machine: int | None = None) -> None:
         self.series[what].append(now)
+        if machine is not None:
+            self.at[what][machine].append(now)
 
     def struck(self, now: int, fronts: bool) -> None:
         if self.calm is None:
@@ -45,18 +48,29 @@
 
     def usual_rate(self, what: str) -> float | None:
         """Events a second before the fault; None where too few tell."""
+        return self._usual(self.series[what])
+
+    def _usual(self, times: list[int]) -> float | None:
         if self.calm is None:
             return None
         since = self.start + (self.calm - self.start) // SETTLES
-        seen = sum(since <= at < self.calm for at in self.series[what])
+        seen = sum(since <= at < self.calm for at in times)
         return seen * SECOND / (self.calm - since) if seen >= USUAL_LEAST and self.calm > since else None
 
     def stampede(self, what: str) -> float | None:
         """The greatest rate of any 500 ms from the fault on, over the usual one."""
-        usual = self.usual_rate(what)
+        return self._stampede(self.series[what])
+
+    def worst(self, what: str) -> float | None:
+        """The greatest factor at any one machine of which the usual rate is known."""
+        factors = [f for times in self.at[what].values() if (f := self._stampede(times)) is not None]
+        return max(factors, default=None)
+
+    def _stampede(self, all_times: list[int]) -> float | None:
+        usual = self._usual(all_times)
         if usual is None or self.fault is None:
             return None
-        times, most = sorted(at for at in self.series[what] if at >= self.fault), 0
+        times, most = sorted(at for at in all_times if at >= self.fault), 0
         for n, at in enumerate(times):
             most = max(most, bisect_left(times, at + WINDOW) - n)
         return most * SECOND / WINDOW / usual
--- a/quincepier/lab/tally.py
+++ b/quincepier/lab/tally.py
@@ -32,6 +32,7 @@
     seconds: tuple[float, ...]  # served over asked, by second
     marks: tuple[tuple[float, str], ...]
     stampede: dict[str, float]  # by what is counted, where a front fell
+    stampede_worst: dict[str, float]  # the same at the one machine where it is greatest
     usual: dict[str, float]  # events a second before that
     full_service_s: float | None  # from the last return; None: never, or none came back
     cold_strain: float  # the most any cold machine was asked for, over what it stands
@@ -80,11 +81,11 @@
         self.worth_served[self._second(now - took)] += int(c.worth * 1000 * part)
         self.returns.over(now - took, c.worth, c.worth * part)
 
-    def filled(self, now: int, at_origin: bool) -> None:
+    def filled(self, now: int, at_origin: bool, source: int) -> None:
         """A fill was begun at a cache, from the origin itself or from a parent."""
         self.fills += 1
         if not at_origin:
-            self.returns.count("fills at parents", now)
+            self.returns.count("fills at parents", now, source)
 
     def fetched(self, now: int) -> None:
         self.fetches += 1
@@ -105,6 +106,7 @@
         asked = sum(self.worth_asked.values()) or 1
         end = START + int(self.experiment.seconds * SECOND)
         factors = {what: self.returns.stampede(what) for what in sorted(self.returns.series)}
+        worst = {what: self.returns.worst(what) for what in sorted(self.returns.at)}
         usual = {what: self.returns.usual_rate(what) for what in sorted(self.returns.series)}
         self.figures = Figures(
             worth=round(sum(self.worth_served.values()) / asked, 6),
@@ -121,6 +123,7 @@
             seconds=tuple(round(s, 4) for s in seconds),
             marks=tuple(self.marks),
             stampede={what: round(f, 3) for what, f in factors.items() if f is not None},
+            stampede_worst={what: round(f, 3) for what, f in worst.items() if f is not None},
             usual={what: round(f, 3) for what, f in usual.items() if f is not None},
             full_service_s=self.returns.to_full_service(end),
             cold_strain=round(strain, 4),
--- a/quincepier/lab/world.py
+++ b/quincepier/lab/world.py
@@ -171,7 +171,7 @@
         self.busy[machine] += 1
         if self.busy[machine] > self.connections[machine]:
             self.connections[machine] += 1
-            self.world.tally.returns.count("dials", self.world.now)
+            self.world.tally.returns.count("dials", self.world.now, machine)
         self.world.send(attempt)
 
     def _answer(self, number: int, status: str, wait: int) -> None:
@@ -374,7 +374,7 @@
 
     def filled(self, machine: int, source: int) -> None:
         at = self.machines.all.get(source)
-        self.tally.filled(self.now, at is not None and at.kind == ORIGIN)
+        self.tally.filled(self.now, at is not None and at.kind == ORIGIN, source)
 
     def fetched(self, by: int) -> None:
         self.tally.fetched(self.now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -121,10 +121,12 @@
 
 def test_stampede_and_time_to_full_service_from_counts() -> None:
     returns = Returns(0)
-    for n in range(1000):  # ten a second, then forty for half a second
-        returns.count("dials", n * SECOND // 10)
+    for n in range(
+        1000
+    ):  # ten a second, then forty more for half a second, all of them at one machine of two
+        returns.count("dials", n * SECOND // 10, n % 2)
     for n in range(20):
-        returns.count("dials", 50 * SECOND + n * SECOND // 40)
+        returns.count("dials", 50 * SECOND + n * SECOND // 40, 1)
     for n in range(1000):
         at = n * SECOND // 10
         returns.over(at, 1.0, 0.0 if 50 * SECOND <= at < 53 * SECOND else 1.0)
@@ -135,6 +137,8 @@
     assert full is not None and 1.9 <= full <= 2.1
     assert returns.to_full_service(54 * SECOND) is None  # not three good seconds by then
     assert returns.stampede("fills") is None
+    worst = returns.worst("dials")
+    assert worst is not None and 8.4 <= worst <= 9.7  # forty and five over five
 
 
 def test_what_befalls_a_folder_of_state(tmp_path: Path) -> None:
