A stream that ends while it is cut ends at the heal; hard faults of the rig tested

Need: on a last reading: a connection closed behind a held direction was never closed on after the heal; starvation, silence and throttling were played by no test of processes, pauses and rolling restarts by none of virtual time, and the bound of bytes held by none.

--- a/quincepier/lab/fleet/relay.py
+++ b/quincepier/lab/fleet/relay.py
@@ -177,6 +177,7 @@
         self.to: asyncio.Transport | None = None
         self.held: list[bytes] = []
         self.size = self.pending = 0
+        self.ended = False  # the giving side closed while nothing went through
 
     def give(self, data: bytes) -> None:
         way = self.way
@@ -207,10 +208,13 @@
             held, self.held, self.size = self.held, [], 0
             for data in held:
                 self.to.write(data)
+            if self.ended:
+                self.to.close()
 
     def end(self, to: asyncio.Transport | None, error: Exception | None) -> None:
         """The giving side has closed; over a way that is held nobody hears of it."""
         if to is None or self.way.held:
+            self.ended = True
             return
         if error is not None:
             to.abort()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -58,6 +58,9 @@
   - {{at: 6, kind: reset, part: 0.2, path: caches, lasts: 0.3}}
   - {{at: 6, kind: delay, part: 0.5, path: caches, size: 5, lasts: 1}}
   - {{at: 6, kind: term, part: 0.2, lasts: 0.2}}
+  - {{at: 7.5, kind: starve, part: 0.2, size: 30, lasts: 0.6}}
+  - {{at: 8, kind: silent, part: 0.2, path: caches, lasts: 0.4}}
+  - {{at: 8.5, kind: throttle, part: 0.5, path: clients, size: 500, lasts: 0.5}}
 """
 
 
@@ -472,6 +475,37 @@
     assert 1 / 1.5 < real.stampede["dials"] / virtual.stampede["dials"] < 1.5
 
 
+def test_a_cut_stream_keeps_so_many_bytes_and_then_ends() -> None:
+    class Cut:
+        aborted = 0
+
+        def abort(self) -> None:
+            self.aborted += 1
+
+    cut = Cut()
+    lane = relay.Lane(cut, Way(held=True))  # type: ignore[arg-type]
+    for _ in range(relay.HELD_MOST // 1024):
+        lane.give(bytes(1024))
+    assert not cut.aborted and lane.size == relay.HELD_MOST
+    lane.give(b"more")
+    assert cut.aborted == 1 and lane.size == relay.HELD_MOST
+
+
+def test_fronts_that_stand_still_or_are_restarted_in_turn_in_virtual_time(tmp_path: Path) -> None:
+    """Pauses, starvation, ends, a rolling restart: no rule breaks, and service is whole at the end."""
+    faults = """faults:
+  - {at: 2, kind: pause, part: 0.5, lasts: 2.5}
+  - {at: 5, kind: starve, part: 0.5, size: 50, lasts: 1}
+  - {at: 7, kind: term, part: 0.2, lasts: 0.2}
+  - {at: 8, kind: roll, part: 1, lasts: 3}
+"""
+    text = QUICK.replace("seconds: 4", "seconds: 14").replace("fronts: 2", "fronts: 5") + faults
+    figures = play(load(written(tmp_path, text)), "as it is", 1).figures
+    assert not figures.broken, figures.first_broken
+    assert [kind for _, kind in figures.marks] == ["pause", "starve", "term", "roll"]
+    assert figures.seconds[-1] == 1.0 and min(figures.seconds[2:5]) < 0.95
+
+
 def test_a_kept_run_as_json_names_its_figures(tmp_path: Path) -> None:
     path = written(tmp_path, QUICK)
     out = tmp_path / "runs.json"
