--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -146,6 +146,19 @@
     waited: int = 0  # for its turn at this front: more than a little says that the front is behind
 
 
+@dataclass(slots=True, frozen=True)
+class Home:
+    """Where a key of a tenant is at home under one rule version; what is not in the sets is not used for it.
+
+    `name` tells homes apart. `closed`: what may not simply be repeated is refused for now, with advice.
+    """
+
+    name: int
+    caches: frozenset[int]
+    parents: frozenset[int]
+    closed: bool = False
+
+
 @dataclass(slots=True)
 class TimerDue:
     token: int
--- /dev/null
+++ b/quincepier/rules/reports.py
@@ -0,0 +1,68 @@
+"""What fronts report to the voter that leads, and what it sees of all: plain facts, ages, no decision."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+
+
+class Service(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of one span of a front, of one tenant ("" for all) at one shard ("" for all)."""
+
+    tenant: str
+    shard: str
+    asked: int = 0  # final answers given
+    worth: float = 0.0  # of what was asked
+    in_time: float = 0.0  # worth answered in time
+    refused: int = 0
+    hits: int = 0
+    fills: int = 0
+
+
+class FrontReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one front says of itself, every report period."""
+
+    front: str
+    start: int  # its incarnation
+    number: int  # of the rule version by which it decides
+    digest: str
+    cautious: bool
+    span_ms: Annotated[int, msgspec.Meta(ge=0)]  # that the counts are of
+    open_at: tuple[tuple[str, int], ...] = ()  # host id and attempts of this front that are open there
+    open_keyed: tuple[tuple[str, str, int], ...] = ()  # tenant, shard, open requests that may not be repeated
+    last_keyed: tuple[tuple[str, str, int], ...] = ()  # tenant, shard, ms since such a one was sent on
+    aside: tuple[str, ...] = ()  # machines that it set aside
+    sent: tuple[tuple[str, int], ...] = ()  # host id and commands sent there in the span: the load
+    service: tuple[Service, ...] = ()
+    purge_place: int = 0  # the number in the change log up to which it has heard
+
+
+@dataclass(slots=True, frozen=True)
+class MachineSeen:
+    """One line of the change log's list, as the leading voter has it."""
+
+    host: str
+    kind: str  # cache, parent, origin
+    zone: str
+    ready: bool
+    up_ms: int  # since its last start, as listed
+    warm_ms: int  # that it takes to be warm after a start
+
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """All that a step may be decided by; the same value gives the same steps."""
+
+    now: int  # monotonic nanoseconds of the voter that leads
+    view: tuple[str, ...]  # fronts that are members
+    reports: dict[str, FrontReport]  # the last one of each front that has a lease
+    lapsed: bool  # every front without a report here has surely lost its lease and ended what it had open
+    in_force: int  # highest number that every front with a lease decides by (none holds an older one)
+    in_force_for: int  # nanoseconds since that number came into force
+    machines: dict[str, MachineSeen]
+    voters: tuple[str, ...]
+    leader: str
+    alike: bool | None = None  # whether all fronts were found to decide alike by `in_force`; None: not known
+    usual: dict[str, float] = field(default_factory=dict)  # tenant to worth in time over worth, before orders
--- /dev/null
+++ b/quincepier/rules/version.py
@@ -0,0 +1,206 @@
+"""A rule version: an immutable, numbered whole. Numbers go up by one; a front decides by one at a time.
+
+The digest is xxh3-128 over the msgpack of all else, so two versions of one digest hold the same, and a
+flipped bit shows. Machines are named by their host ids, fronts and tenants by their names.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Annotated, Literal, TypeVar
+
+import msgspec
+import xxhash
+
+from quincepier.rules.errors import RulesError
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Why = Annotated[str, msgspec.Meta(max_length=200)]
+ORDERS_MOST, MOVES_MOST, SHARDS_MOST, HOMES_MOST = 4096, 64, 64, 4096
+VERSION_MOST = 1 << 20  # bytes of an encoded version
+PARTS = 256  # a tenant's keys are moved in so many parts, by hash
+
+
+class OrderStep(IntEnum):
+    WAITING = 0  # wished, not begun: used as usual
+    DRAINING = 1  # nothing new may be sent to it
+    EMPTY = 2  # no front may send to it and nothing of any front is open there: work may begin
+    OUT = 3  # work was seen to have begun (it is off the list, down, or restarted)
+    BACK = 4  # it is up again and listed
+    WARMING = 5  # used again, within its cold budget
+    IN = 6  # done: used as usual
+    STOPPED = 7  # given up before EMPTY, or by the operator; `why` says it; used as usual
+
+
+class Order(msgspec.Struct, frozen=True, array_like=True):
+    """One machine or front that is taken out for work."""
+
+    wish: Name  # the id of the operators' wish
+    target: Name  # host id of a machine, or name of a front
+    kind: Literal["cache", "parent", "front"]
+    zone: Annotated[str, msgspec.Meta(max_length=64)]
+    step: OrderStep
+    since: int  # number of the version in which it entered this step
+    why: Why = ""
+
+    @property
+    def aside(self) -> bool:
+        """Whether nothing new may be sent to it."""
+        return OrderStep.DRAINING <= self.step <= OrderStep.BACK
+
+    @property
+    def out(self) -> bool:
+        """Whether it counts as out against what is allowed, warming ones counted."""
+        return OrderStep.DRAINING <= self.step <= OrderStep.WARMING
+
+    @property
+    def open(self) -> bool:
+        return self.step <= OrderStep.WARMING
+
+
+class Allowance(msgspec.Struct, frozen=True, array_like=True):
+    """How many of a kind may be out at once in any one zone, and over all zones."""
+
+    kind: Literal["cache", "parent", "front"]
+    zone_most: int
+    most: int
+
+
+class Shard(msgspec.Struct, frozen=True, array_like=True):
+    """A named part of the caches with the parents behind it; no parents named: all of them."""
+
+    name: Name
+    caches: tuple[Name, ...]
+    parents: tuple[Name, ...] = ()
+
+
+class Home(msgspec.Struct, frozen=True, array_like=True):
+    """The home shard of a tenant; tenants without a line have the common one, all caches outside of shards
+    or, where no line names any, all caches."""
+
+    tenant: Name
+    shard: Name
+
+
+class MoveStep(IntEnum):
+    PLANNED = 0
+    WARMING = 1  # `part` of the keys go to the new home, growing; what may not be repeated stays at the old
+    VERIFY = 2  # the part stays, both homes are compared
+    CLOSING = 3  # what may not simply be repeated is refused: it runs at neither home
+    CUT_OVER = 4  # all keys, and after the gap what may not be repeated, go to the new home
+    DRAINING = 5  # nothing goes to the old home; what was open there ends
+    DONE = 6
+    RETURNING = 7  # a rollback on its way: as CLOSING, and then all goes to the old home
+    BACK = 8  # rolled back: everything as before the move
+
+
+class Move(msgspec.Struct, frozen=True, array_like=True):
+    """A tenant on its way from one shard to another."""
+
+    wish: Name
+    tenant: Name
+    old: Name
+    new: Name
+    step: MoveStep
+    since: int  # number of the version in which it entered this step
+    part: Annotated[int, msgspec.Meta(ge=0, le=PARTS)] = 0  # of the keys that go to the new home, of PARTS
+    why: Why = ""
+
+    @property
+    def open(self) -> bool:
+        return self.step not in (MoveStep.DONE, MoveStep.BACK)
+
+
+class RuleVersion(msgspec.Struct, frozen=True, array_like=True):
+    number: int
+    term: int  # of the leader that proposed it
+    orders: Annotated[tuple[Order, ...], msgspec.Meta(max_length=ORDERS_MOST)] = ()
+    allowances: Annotated[tuple[Allowance, ...], msgspec.Meta(max_length=3)] = ()
+    shards: Annotated[tuple[Shard, ...], msgspec.Meta(max_length=SHARDS_MOST)] = ()
+    homes: Annotated[tuple[Home, ...], msgspec.Meta(max_length=HOMES_MOST)] = ()
+    moves: Annotated[tuple[Move, ...], msgspec.Meta(max_length=MOVES_MOST)] = ()
+
+    @property
+    def digest(self) -> str:
+        """32 hex digits; over number and term too."""
+        return xxhash.xxh3_128_hexdigest(_encode(self))
+
+    def order_of(self, target: str) -> Order | None:
+        """The last order for that machine or front."""
+        return next((o for o in reversed(self.orders) if o.target == target), None)
+
+    def move_of(self, tenant: str) -> Move | None:
+        """The last move of that tenant."""
+        return next((m for m in reversed(self.moves) if m.tenant == tenant), None)
+
+    def home_of(self, tenant: str) -> str:
+        """The shard at which the tenant is at home, "" for the common one; moves are not looked at."""
+        return next((h.shard for h in self.homes if h.tenant == tenant), "")
+
+    def shard(self, name: str) -> Shard | None:
+        return next((s for s in self.shards if s.name == name), None)
+
+
+class Change(msgspec.Struct, frozen=True):
+    """What a part wants changed, as wholes of its own fields; None leaves a field as it is. Whoever decides a
+    step gives one, and `apply` makes the next version of all of one turn."""
+
+    why: str  # told in the log
+    orders: tuple[Order, ...] | None = None
+    allowances: tuple[Allowance, ...] | None = None
+    shards: tuple[Shard, ...] | None = None
+    homes: tuple[Home, ...] | None = None
+    moves: tuple[Move, ...] | None = None
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(RuleVersion).decode
+
+
+def first() -> RuleVersion:
+    """What holds before anything was agreed: nothing out, no shards."""
+    return RuleVersion(0, 0)
+
+
+def apply(version: RuleVersion, term: int, changes: tuple[Change, ...]) -> RuleVersion:
+    """The next version. `since` of entries that are new or entered another step is set to its number here,
+    so whoever proposes need not know it. RulesError where two changes set the same field."""
+    number, given = version.number + 1, dict[str, object]()
+    for change in changes:
+        for field in ("orders", "allowances", "shards", "homes", "moves"):
+            value = getattr(change, field)
+            if value is None:
+                continue
+            if field in given:
+                raise RulesError(f"two changes of {field} in one turn", change.why)
+            given[field] = value
+    if "orders" in given:
+        was = {(o.wish, o.target): o for o in version.orders}
+        given["orders"] = tuple(_since(o, was.get((o.wish, o.target)), number) for o in given["orders"])  # type: ignore[attr-defined]
+    if "moves" in given:
+        before = {m.wish: m for m in version.moves}
+        given["moves"] = tuple(_since(m, before.get(m.wish), number) for m in given["moves"])  # type: ignore[attr-defined]
+    return msgspec.structs.replace(version, number=number, term=term, **given)
+
+
+T = TypeVar("T", Order, Move)
+
+
+def _since(entry: T, before: T | None, number: int) -> T:
+    kept = before is not None and before.step == entry.step
+    return msgspec.structs.replace(entry, since=before.since if kept and before is not None else number)
+
+
+def encode(version: RuleVersion) -> bytes:
+    """Digest first, so that what was spoilt on its way or on a disk is refused."""
+    body = _encode(version)
+    return xxhash.xxh3_128_digest(body) + body
+
+
+def decode(raw: bytes) -> RuleVersion:
+    if len(raw) > VERSION_MOST or xxhash.xxh3_128_digest(raw[16:]) != raw[:16]:
+        raise RulesError("a rule version is spoilt or too long")
+    try:
+        return _decode(raw[16:])
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise RulesError(f"not a rule version: {str(error)[:100]}") from None
