--- a/quincepier/policy/cold.py
+++ b/quincepier/policy/cold.py
@@ -30,8 +30,7 @@
         node.paid, node.credit = self.now, min(saved, COLD_BURST * rate * self.s.cold_window)
         return node.credit >= 0
 
-    def weigh(self) -> None:
-        """Sizes, by what a kind bears while all of it are up and warm; too much would add up at a new one."""
+    def weigh(self) -> None:  # sizes, by what a kind bears while all of it are up and warm
         for kind, (work, at) in self.borne.items():
             alike = [n for n in self.nodes.values() if n.machine.kind == kind]
             work *= math.exp2((at - self.now) / BORNE_FADE)
--- a/quincepier/policy/fills.py
+++ b/quincepier/policy/fills.py
@@ -78,7 +78,6 @@
         return best
 
     def filled(self, attempt: Attempt, e: AttemptEnded, from_cache: bool) -> None:
-        self.fills -= 1
         alone = attempt.held or e.note in (Note.SOURCE_BROKEN, Note.SOURCE_LACKS)  # not the origin's word
         if e.ending is Ending.FULL and not alone:  # at once
             self.rest = min(max(2 * self.rest, REST_LEAST), REST_MOST)
@@ -88,7 +87,7 @@
         aim = self.aim(attempt.req) * attempt.node.pace.times(self.now)
         slow = e.waited > attempt.req.cls.on_time or e.elapsed > aim
         bad = e.ending in (Ending.FULL, Ending.TIMEOUT) or (slow and not from_cache)
-        self.bad += bad  # so is one called off at its deadline
+        self.fills, self.bad = self.fills - 1, self.bad + bad  # so is one called off at its deadline
         self.good += e.ending is Ending.OK and not from_cache and not bad
         if self.good + self.bad >= self.bound:  # one slow answer may be a large object's
             if self.bad > BAD_SHARE * (self.good + self.bad):
--- a/quincepier/policy/parts.py
+++ b/quincepier/policy/parts.py
@@ -12,8 +12,7 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000  # times are in nanoseconds
 PACE = 4 * SECOND, 1.5  # signs of how slow one is count half after; beside so many of it as usual
-PACE_EASY = 1.3  # times as slow as the best of its kind at which a machine keeps its part of the keys
-BORNE_FADE = 15 * SECOND  # served work counts half in
+PACE_EASY, BORNE_FADE = 1.3, 15 * SECOND  # times the best's, to keep its keys; served work counts half in
 HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
 BOUND_START, BOUND_LEAST, BOUND_EACH = 16, 12, 4  # fills in flight (design); at least a zone's, and each's
 STOOD = 2 * SECOND  # a standstill of the front itself after which it finds all anew
@@ -63,10 +62,7 @@
         self.requests, self.attempts = dict[int, Request](), dict[tuple[int, int], Attempt]()
         self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
         self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
-        self.samples, self.fetch = (
-            Counter[int](),
-            Pace(*PACE),
-        )  # its answers; all fills, by the link
+        self.samples, self.fetch = Counter[int](), Pace(*PACE)  # answers of a class; all fills, by the link
         self.usual = dict[tuple[int, bool, bool], tuple[float, int, float, int]]()  # see compare
         self.began = self.born = now  # this front, and the work that its memory is of; see weigh
         self.sizes, self.borne = dict[int, float](), dict[int, tuple[float, int]]()  # by kind
--- a/quincepier/policy/placement.py
+++ b/quincepier/policy/placement.py
@@ -30,8 +30,7 @@
                 self.nodes[m.cache], moved = Node(m), True
             elif node is not None:
                 if m.up_since > node.machine.up_since:
-                    node.cold_at = max(node.cold_at, m.up_since)
-                    node.suspect = False
+                    node.cold_at, node.suspect = max(node.cold_at, m.up_since), False
                 moved = moved or m.size != node.machine.size
                 node.machine, node.leaving = m, 0
         if moved:
@@ -64,9 +63,8 @@
 
     def place(self, req: Request) -> Node | None:  # the first by hash; for a hot object the idler of two
         good = list(islice((n for n in self.rank(self.edges, req.key) if self.usable(n, req)), 2))
-        if len(good) > 1 and good[0].recent.count(req.e.object) > HOT_SHARE * HOT_OF:
-            return min(good, key=lambda n: len(n.out))
-        return good[0] if good else None
+        hot = len(good) > 1 and good[0].recent.count(req.e.object) > HOT_SHARE * HOT_OF
+        return min(good, key=lambda n: len(n.out)) if hot else good[0] if good else None
 
     def source(self, req: Request) -> Node | None:  # by hash over all listed, else the origin
         ranked = self.rank(self.parents, mix(req.e.object)) + self.origins
--- a/quincepier/policy/trust.py
+++ b/quincepier/policy/trust.py
@@ -32,9 +32,8 @@
 
     def trust(self, node: Node) -> None:
         node.heard, node.failed, node.denied = self.now, 0, None
-        if node.suspect:
-            node.suspect = False  # where a trial failed it was away and starts anew, told or not
-            node.cold_at = self.now if node.wait > 2 * SUSPECT_FOR else node.cold_at
+        if node.suspect:  # where a trial failed it was away and starts anew, told or not
+            node.suspect, node.cold_at = False, self.now if node.wait > 2 * SUSPECT_FOR else node.cold_at
             self.log(f"machine {node.machine.cache} answers again")
 
     def distrust(self, node: Node, why: str, points: float = LOST_LEAST) -> None:
