--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -29,8 +29,9 @@
 TICK = 0.1  # seconds between looks at the loop's lag
 SWEEP_EVERY, TELL_EVERY = 2, 100  # ticks
 # After SIGTERM clients come on for up to 0.6 s; the kill comes the longest deadline, three seconds at most,
-# plus 0.7 s after it. What is open shortly before is answered as failed, as the process ends.
-DRAIN_LEAST, DRAIN_DEADLINE_MOST, DRAIN_END = 0.75, 3.0, 0.45
+# plus 0.7 s after it. What is open shortly before is answered as failed, as the process ends; what comes in
+# the time before that, on connections that are never free, is refused, as it would hardly be done by then.
+DRAIN_LEAST, DRAIN_DEADLINE_MOST, DRAIN_END, DRAIN_REFUSES = 0.75, 3.0, 0.45, 0.5
 GC_AFTER = 10_000  # new objects between looks for circles: what a request leaves has none
 FLUSH = 0.1  # seconds given to the last answers
 
@@ -131,8 +132,12 @@
         while True:
             await asyncio.sleep(TICK / 5)
             spent = (clock.now() - began) / clock.SECOND
-            if spent >= DRAIN_LEAST and (self._quiet() or spent >= most):
-                break
+            if spent >= DRAIN_LEAST:
+                self.shop.refusing = spent >= most - DRAIN_REFUSES
+                self.shop.part()
+                if self._quiet() or spent >= most:
+                    break
+        self.shop.refusing = True  # nothing is taken any more that would be answered by nobody
         if not self._quiet():
             left = self.module.requests.unanswered
             told = logger.bind(event="drain ends", requests=left)
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -76,6 +76,7 @@
         self.epoll: select.epoll | None = None  # made with the first connection
         self.by_fd: dict[int, ClientConnection] = {}
         self.random = random.Random(means.config.seed)
+        self.parting = self.refusing = False  # see part; what comes is answered with a refusal at once
 
     def follow(self, places: Places | None) -> None:
         """The operators tell other limits: they hold for who comes from now on, and for who rests."""
@@ -203,6 +204,16 @@
         else:
             self.turning = False
 
+    def part(self) -> None:
+        """The front ends: from now on a connection goes with the last answer owed there.
+
+        Else a client that sends row after row would hold the drain up to its end, and lose its last row.
+        Who has asked for nothing yet stays: that first request is answered.
+        """
+        self.parting = True
+        for connection in [c for c in self.connections if c.asked]:
+            connection.part()
+
     def quiet(self) -> bool:
         """Nothing that was asked here whole is unanswered or on its way out."""
         return not any(connection.owed for connection in self.talking)
@@ -419,6 +430,13 @@
         self.shop.connections.discard(self)
         self.shop.descriptors.client(-1)
 
+    def part(self) -> None:
+        """Closed where nothing is owed, nor by what has come and was not read yet: that is taken first."""
+        if not (self.closed or self.owed or self.stirred):
+            self.receive()
+            if not (self.closed or self.owed or self.stirred):
+                self.close()
+
     def _forget(self, request: OpenRequest) -> None:
         self.shop.bodies -= len(request.body)
 
@@ -539,6 +557,9 @@
             shop.checks.event("bad request", str(error))
             self._say(talk, call.id, cgi_head(error.status))
             return
+        if shop.refusing:
+            self._say(talk, call.id, cgi_head(503, wait_ms=shop.wait_ms()))
+            return
         if shop.bodies + len(call.body) > shop.bodies_most:
             shop.checks.event("request refused: too much open")
             self._say(talk, call.id, cgi_head(503, wait_ms=shop.wait_ms()))
@@ -626,6 +647,8 @@
         else:
             self._stir()  # others get their turn between
         self._settle()
+        if self.shop.parting:
+            self.part()
 
     async def _rest(self, data: bytes) -> None:
         """Wait until the socket has taken it, then go on."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -69,6 +69,28 @@
     policy.Router.came = came  # type: ignore[method-assign]
 
 
+def restart_at_once() -> None:
+    async def drain(self: front.Front, listener: client.Listener) -> None:
+        logger.info("drain: none")
+
+    front.Front._drain = drain  # type: ignore[method-assign]
+
+
+def restart_to_the_end() -> None:
+    restart_takes_on()
+    client.Shop.part = lambda self: None  # type: ignore[method-assign]
+
+
+def restart_takes_on() -> None:
+    plain = client.ClientConnection._call
+
+    def call(self: client.ClientConnection, talk: client.Talk, call: fastcgi.Call, at: int) -> None:
+        self.shop.refusing = False
+        plain(self, talk, call, at)
+
+    client.ClientConnection._call = call  # type: ignore[method-assign]
+
+
 FAULTS: dict[str, Callable[[], None]] = {
     "answer twice": twice,
     "bid repeated": bids,
@@ -77,6 +99,9 @@
     "cold pushed over": cold,
     "never answers": silent,
     "claims at once": claims,
+    "restart: ends at once": restart_at_once,
+    "restart: keeps its clients": restart_to_the_end,
+    "restart: takes on to the end": restart_takes_on,
 }
 
 if __name__ == "__main__":
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -218,6 +218,7 @@
     operator: Path | None = None  # an operators' file
     root: Path | None = None  # of the checkout that is run, where not this one
     optimized: bool = False  # as it is run in service
+    fault: str = ""  # of tests/mutants.py, with which it is run
     reading: asyncio.Task[None] | None = None
 
     async def start(self, wait: bool = True, **changes: Any) -> None:
@@ -238,7 +239,7 @@
         named = ["--operator", str(self.operator)] if self.operator else []
         python = [sys.executable, *(["-O"] if self.optimized else [])]
         self.process = await asyncio.create_subprocess_exec(
-            *python, "-m", "quincepier", "serve", *named, cwd=self.root,
+            *python, "-m", *self.program, *named, cwd=self.root,
             env=environment | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         self.reading = asyncio.create_task(self._log(self.process))
@@ -248,6 +249,10 @@
             )
             assert not self.ended, self.lines
 
+    @property
+    def program(self) -> tuple[str, ...]:
+        return ("tests.mutants", self.fault) if self.fault else ("quincepier", "serve")
+
     @property
     def ended(self) -> bool:
         return self.process is None or self.process.returncode is not None
@@ -287,11 +292,16 @@
                 server.close()
 
 
-def play(folder: Path, caches: dict[str, Behaviour], scenario: Callable[[Front], Awaitable[None]]) -> None:
+def play(
+    folder: Path,
+    caches: dict[str, Behaviour],
+    scenario: Callable[[Front], Awaitable[None]],
+    fault: str = "",
+) -> None:
     """Start the front over such caches, play the scenario, end what was started."""
 
     async def run() -> None:
-        front = Front(folder, {name: Cache(behaviour) for name, behaviour in caches.items()})
+        front = Front(folder, {name: Cache(behaviour) for name, behaviour in caches.items()}, fault=fault)
         try:
             await front.start()
             await scenario(front)
