--- a/quincepier/net/changes.py
+++ b/quincepier/net/changes.py
@@ -21,7 +21,9 @@
 # but stays open is found out after both, and what it has to tell counts as told 2 s after the wait.
 POLL_MS, POLL_GRACE = 1000, 0.75
 CONNECT_WITHIN = 0.5
-BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds; none at the first failure, then doubled at each in a row
+# Seconds from one try to the next: none at the first failure, then doubled at each in a row. After an outage
+# of eight seconds, what came at its start has counted as told for one, and a drain's grace is two.
+BACK_OFF, BACK_OFF_MOST = 0.05, 0.75
 ANSWER_MOST = 8 * 1024 * 1024
 # A front serves once it has heard what the log had as it started: an answer, or so much silence after the
 # call, as the log answers at once where there is news. Without the log it serves after the second of these.
@@ -76,8 +78,10 @@
                 await self.current.wait()
 
     async def run(self) -> None:
+        loop = asyncio.get_running_loop()
         try:
             while True:
+                began = loop.time()
                 try:
                     self.polling = asyncio.ensure_future(self._poll())
                     await asyncio.wait((self.polling,))
@@ -93,7 +97,8 @@
                     self.checks.event("change log lost", f"{type(error).__name__}: {error}")
                     if self.failures > 1:
                         wait = min(BACK_OFF * 2 ** min(self.failures - 2, 10), BACK_OFF_MOST)
-                        await asyncio.sleep(wait * self.random.uniform(0.5, 1))
+                        due = began + wait * self.random.uniform(0.5, 1)  # a try may have taken that long
+                        await asyncio.sleep(max(due - loop.time(), BACK_OFF))
         finally:
             if self.polling is not None:
                 self.polling.cancel()
