--- a/quincepier/lab/fleet/relay.py
+++ b/quincepier/lab/fleet/relay.py
@@ -41,6 +41,7 @@
     log_port: int
     front_port: int
     paths: tuple[str, ...]  # those that this process carries
+    peer_port: int = 0  # where fronts hear each other; 0: where they hear clients
 
 
 class Pair:
@@ -271,7 +272,7 @@
                 await self._machine(f, m)
             for other in range(plan.fronts if PEERS in plan.paths else 0):
                 if other != f:
-                    to = (front_address(other), plan.front_port)
+                    to = (front_address(other), plan.peer_port or plan.front_port)
                     key = (PEERS, f, other)
                     pair = await self._pair(key, pair_address(f, other), to, pair_address(other, f), False)
                     loop = asyncio.get_running_loop()
@@ -299,7 +300,7 @@
         """To the other front's own address, from where it finds this one."""
         back = self.datagrams.get((other, front))
         if back is not None and self.pairs[PEERS, front, other].up:
-            back.sendto(data, (front_address(other), self.plan.front_port))
+            back.sendto(data, (front_address(other), self.plan.peer_port or self.plan.front_port))
 
     async def live(self, path: str, other: int, how: str) -> None:
         """A machine or a front is up, refuses connections, or is gone without a word."""
@@ -314,10 +315,13 @@
     async def fault(self, words: dict[str, Any]) -> None:
         """Set (or with `heal`, clear) a fault on a path of some fronts, one way or both."""
         kind, heal, size = words["kind"], words["heal"], words["size"]
+        apart = words.get("apart")  # of pairs of fronts: only those between `fronts` and these
         for front in words["fronts"]:
             for pair in [p for (path, f, o), p in self.pairs.items() if path == words["path"]
                          and (f == front or (path == PEERS and o == front))]:  # fmt: skip
                 mine = pair.key[1] == front  # of a pair of fronts, the other's words are this one's to hear
+                if apart is not None and pair.key[2 if mine else 1] not in apart:
+                    continue
                 says, hears = (pair.out, pair.into) if mine else (pair.into, pair.out)
                 way = words["way"]
                 ways = [w for w, on in ((says, way in ("out", "both")), (hears, way in ("in", "both"))) if on]
--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -264,7 +264,7 @@
         self.loads: list[Child] = []
         self.events: list[dict[str, Any]] = []
         self.ports: dict[str, int] = {}
-        self.port = 0
+        self.port = self.peer_port = 0  # of all fronts: for clients, for each other
         self.used: dict[str, list[tuple[float, float]]] = {}
         self.waiting: dict[int, Fault] = {}  # faults that wait for a counted event
         self.pace: dict[str, dict[str, int]] = {}
@@ -324,14 +324,16 @@
         plan = standins.Plan(str(self.folder), place, self.seed, wall)
         words = await self.standins.start(standins.__name__, plan)
         self.events = words["events"]
-        self.port = self._free_port()
+        self.port = self.peer_port = self._free_port()
+        while self.peer_port == self.port:
+            self.peer_port = self._free_port()
         machines = fleet.caches + fleet.parents + 1
         for path in (relay.CLIENTS, relay.CACHES, relay.LOG, *([relay.PEERS] if self._peers() else [])):
             one = self.relays[path] = Child(f"relay-{path}", self)
             sweeps = self.keep is None and path == relay.CLIENTS
             net = relay.Plan(
                 str(self.folder), sweeps, self.seed, fleet.fronts, machines, words["machines"],
-                words["log"], self.port, (path,),
+                words["log"], self.port, (path,), self.peer_port,
             )  # fmt: skip
             self.ports |= (await one.start(relay.__name__, net))["ports"]
         self.standins.say(ports=self.ports)
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -14,6 +14,7 @@
 from quincepier import clock
 from quincepier.checks import Checks
 from quincepier.config import FrontConfig, SettingsError, load_front, reloaded
+from quincepier.errors import QuincepierError
 from quincepier.lifecycle import signals
 from quincepier.memory.budget import own_memory, share_out
 from quincepier.memory.pool import BufferPool
@@ -51,6 +52,7 @@
         self.shop = Shop(self.module.means, lambda: self.module.standing, places)
         self.changes = ChangesActor(self.module.means)
         self.keeper = operators.keeper(self.module) if operators is not None else None
+        self.peers = operators.peers(self.module) if operators is not None else None
         self.term = asyncio.Event()
         self.lag_most = 0
 
@@ -58,7 +60,7 @@
         self.shop.make_room()
 
     async def serve(self) -> None:
-        """Until a SIGTERM or SIGINT has been drained. An address that can't be had raises OSError."""
+        """Until a SIGTERM or SIGINT has been drained. OSError or PeersError where an address can't be had."""
         loop = asyncio.get_running_loop()
         sock = listen(self.config.listen)
         listener = Listener(self.shop, sock)
@@ -68,6 +70,8 @@
         self.module.begin()
         if self.keeper is not None:
             await self.keeper.recall()
+        if self.peers is not None:
+            await self.peers.start()
         self.changes.start()
         await self.changes.up_to_date()
         listener.start()
@@ -80,6 +84,8 @@
         gc.freeze()
         gc.set_threshold(GC_AFTER, 10, 10)
         await self.term.wait()
+        if self.peers is not None:
+            await self.peers.leave()
         await self._drain(listener)
         if self.keeper is not None and keeping is not None:
             keeping.cancel()
@@ -204,6 +210,9 @@
             host, port = config.listen
             logger.error("can't listen on {}:{}: {}", host, port, os.strerror(error.errno or 0))
             return 1
+        except QuincepierError as error:
+            logger.error("{}", error.line())
+            return 2
         return 0
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -17,9 +17,11 @@
     from quincepier.net.client import Shop
     from quincepier.net.keeper import Keeper
     from quincepier.net.module import ModuleActor
+    from quincepier.net.peers import Peers
 
 
-AT_A_START = ("addresses", "state")  # sections that come and go only at a start
+AT_A_START = ("addresses", "state", "members")  # sections that come and go only at a start
+ONLY_AT_A_START = ("state", "members")  # nor does what they say change before
 
 
 class Operators:
@@ -72,6 +74,16 @@
         section = self.file.get(StateSection)
         return None if section is None else Keeper(module, section)
 
+    def peers(self, module: ModuleActor) -> Peers | None:
+        """This front among the others; PeersError where the section has no place for it."""
+        if self.file.named("members") is None:
+            return None
+        from quincepier.membership.section import MembersSection
+        from quincepier.net.peers import Peers
+
+        section = self.file.get(MembersSection)
+        return None if section is None else Peers.told(section, module.config, module.means)
+
     @property
     def places(self) -> Places | None:
         """Whose clients' connections are whose, and how many each may have."""
@@ -91,7 +103,7 @@
         names = dict.fromkeys((*self.file.names, *file.names))
         differ = [name for name in names if file.named(name) != self.file.named(name)]
         once = [name for name in differ if None in (file.named(name), self.file.named(name))]
-        later = [name for name in differ if name == "state" or (name in once and name in AT_A_START)]
+        later = [n for n in differ if n in ONLY_AT_A_START or (n in once and n in AT_A_START)]
         self.file = file
         if "log" in differ:
             logs.set_up(self.log_format)
--- /dev/null
+++ b/tests/test_members_shell.py
@@ -0,0 +1,176 @@
+"""A front among the fronts, in one process on loopback: the section, datagrams, streams, frames."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quincepier.checks import Checks
+from quincepier.membership.section import MembersSection
+from quincepier.net.peers import FRAME_MOST, Peers, PeersError
+from quincepier.net.peers.frames import Splitter, frame
+from quincepier.net.sockets import Descriptors
+from quincepier.operator import OperatorError, read
+from tests.standins import until
+
+
+def section(text: str) -> MembersSection:
+    found = read(f"members: {text}", "op.yaml").get(MembersSection)
+    assert found is not None
+    return found
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port: int = free.getsockname()[1]
+        return port
+
+
+def fleet(count: int) -> list[Peers]:
+    book = {f"n{n}": ("127.0.0.1", free_port()) for n in range(count)}
+    return [
+        Peers("f", name, place, Checks(), Descriptors(1024), n, book=book)
+        for n, (name, place) in enumerate(book.items())
+    ]
+
+
+def played(peers: list[Peers], story: Callable[[], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        try:
+            async with asyncio.timeout(30):
+                for one in peers:
+                    await one.start()
+                await story()
+        finally:
+            for one in peers:
+                await one.leave()
+
+    asyncio.run(whole())
+
+
+def test_one_book_serves_all_fronts() -> None:
+    book = section("{fleet: web, fronts: {a: '10.0.0.1:7400', b: '[fd00::2]:7400'}}")
+    assert book.listens_at("a") == book.announces("a") and book.listens_at("c") is None
+    assert book.fronts["b"].address == ("fd00::2", 7400)
+    beside = section("{fleet: web, listen: '0.0.0.0:7400', fronts: {a: '10.0.0.1:7400'}}")
+    assert (
+        beside.listens_at("a") != beside.announces("a") == book.fronts["a"] and beside.announces("c") is None
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("{}", "members.fleet"),
+        ("{fleet: web}", "give `listen`"),
+        ("{fleet: web, listen: '10.0.0.1:7400'}", "give `seeds`"),
+        ("{fleet: web, listen: '0.0.0.0:7400', seeds: ['10.0.0.2:7400']}", "give `announce`"),
+        ("{fleet: web, fronts: {a: '10.0.0.1:7400', b: '10.0.0.1:7400'}}", "10.0.0.1:7400 twice"),
+        ("{fleet: web, fronts: {a: 'host:7400'}}", "write an IP address and a port"),
+        ("{fleet: web, fronts: {a: '10.0.0.1:0'}}", "write an IP address and a port"),
+        ("{fleet: web, fronts: {a: '0.0.0.0:7400'}}", "none where a front is found"),
+        ("{fleet: web, port: 1, fronts: {a: '10.0.0.1:7400'}}", "no such key"),
+    ],
+)
+def test_a_section_that_can_not_serve_says_what_to_write(text: str, says: str) -> None:
+    with pytest.raises(OperatorError, match=says):
+        section(text)
+
+
+@given(st.lists(st.binary(max_size=60), max_size=6), st.lists(st.integers(1, 40), max_size=30))
+def test_frames_come_out_whole_however_the_bytes_come(datas: list[bytes], cuts: list[int]) -> None:
+    raw, splitter, got, at = b"".join(frame("f", "n1", 7, d) for d in datas), Splitter("f"), list[bytes](), 0
+    for size in (*cuts, len(raw)):
+        got += [data for _, data in splitter.feed(raw[at : at + size])]
+        at += size
+    assert got == datas and not splitter.held
+
+
+@given(st.binary(min_size=3, max_size=80))
+def test_bytes_that_are_no_frame_end_the_stream(raw: bytes) -> None:
+    splitter = Splitter("f")
+    try:
+        assert splitter.feed(raw) == []
+    except PeersError as error:
+        assert error.code == "QP-PEERS" and error.do
+    assert len(splitter.held) <= len(raw)
+    for wrong in (frame("g", "n1", 7, b""), b"\xff\xff", b"\0\0"):
+        with pytest.raises(PeersError):
+            Splitter("f").feed(wrong)
+
+
+def test_all_find_each_other_and_frames_keep_their_order_on_one_stream_a_pair() -> None:
+    peers, got = fleet(4), dict[tuple[str, str], list[bytes]]()
+
+    async def story() -> None:
+        for one in peers:
+            one.channel(5, lambda sender, data, me=one.name: got.setdefault((me, sender), []).append(data))  # type: ignore[misc]
+        await until(lambda: all(len(one.view) == 4 for one in peers), "all see all")
+        for n in range(200):
+            for one in peers:
+                for other in peers:
+                    assert one is other or one.send(other.name, 5, b"%d" % n)
+        await until(lambda: sum(map(len, got.values())) == 12 * 200, "all frames are there")
+        assert len(got) == 12 and all(data == [b"%d" % n for n in range(200)] for data in got.values())
+        await until(lambda: all(len(one.lines.streams) == 3 for one in peers), "one stream a pair is left")
+        assert peers[0].send("n1", 5, bytes(FRAME_MOST))
+        await until(lambda: len(got["n1", "n0"][-1]) == FRAME_MOST, "the greatest frame is there")
+        assert not peers[0].send("n1", 5, bytes(FRAME_MOST + 1)) and not peers[0].send("n0", 5, b"")
+        await peers[3].leave()
+        assert not peers[3].send("n0", 5, b"late")
+        await until(lambda: all(one.view == ("n0", "n1", "n2") for one in peers[:3]), "who left is out")
+
+    played(peers, story)
+
+
+def test_who_can_not_be_reached_or_does_not_read_costs_frames_and_never_more() -> None:
+    one = fleet(2)[0]
+    silent = socket.socket()
+
+    async def story() -> None:
+        silent.bind(("127.0.0.1", 0))
+        assert not one.send("nobody", 5, b"x")
+        assert one.send("n1", 5, b"x")  # it waits for the dial
+        refused = "peers: frames dropped, peer out of reach"
+        await until(lambda: one.checks.counts[refused] >= 2, "the dial is refused")
+        silent.listen(1)
+        one.know("silent", silent.getsockname())
+        sent = sum(one.send("silent", 5, bytes(FRAME_MOST)) for _ in range(50))
+        assert 0 < sent < 4 and one.checks.counts["peers: frames dropped, queue full"] == 50 - sent
+        assert one.lines.queued <= 4 << 20
+
+    played([one], story)
+    silent.close()
+
+
+def test_a_call_that_raises_and_hostile_bytes_end_nothing() -> None:
+    peers, heard = fleet(2), list[str]()
+
+    def hear(sender: str, data: bytes) -> None:
+        heard.append(sender)
+        raise RuntimeError("planted")
+
+    async def story() -> None:
+        peers[1].channel(9, hear)
+        peers[1].on_view(lambda viewed: hear("view", b""))
+        await until(lambda: len(peers[1].view) == 2, "they see each other")
+        with pytest.raises(PeersError):
+            peers[1].channel(9, hear)
+        reader, writer = await asyncio.open_connection(*peers[1].listen)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        assert await reader.read() == b""
+        peers[0].datagrams.sendto(b"\xc1" * 50, peers[1].listen)  # type: ignore[union-attr]
+        for _ in range(2):
+            assert peers[0].send("n1", 9, b"x")
+        await until(lambda: heard.count("n0") == 2, "frames still come")
+        counts = peers[1].checks.counts
+        await until(lambda: counts["peers: datagrams not taken"] == 1, "the datagram is dropped")
+        assert counts["exception among the peers"] == len(heard) and counts["peers: a stream not taken"] == 1
+
+    played(peers, story)
