--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -80,9 +80,14 @@
             return None
         from quincepier.membership.section import MembersSection
         from quincepier.net.peers import Peers
+        from quincepier.net.peers.divide import Divider
 
         section = self.file.get(MembersSection)
-        return None if section is None else Peers.told(section, module.config, module.means)
+        if section is None:
+            return None
+        peers = Peers.told(section, module.config, module.means)
+        Divider(module, peers)
+        return peers
 
     @property
     def places(self) -> Places | None:
--- /dev/null
+++ b/quincepier/net/peers/divide.py
@@ -0,0 +1,39 @@
+"""The living count in the decisions: into how many parts this front divides what all may be asked for."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from quincepier import clock
+from quincepier.interface import Settings
+from quincepier.membership import Standing, Viewed
+from quincepier.membership.shares import Claims
+from quincepier.net.module import ModuleActor
+from quincepier.net.peers.shell import Peers
+
+
+def divided(settings: Settings, parts: int) -> Settings:
+    """The same settings for so many fronts; zones keep their proportions, rounded up to the smaller part."""
+    told = max(settings.fronts, 1)
+    by_zone = tuple(-(-n * parts // told) for n in settings.fronts_by_zone)
+    return replace(settings, fronts=parts, fronts_by_zone=by_zone)
+
+
+class Divider:
+    """Follows the view. `Router.s` is read at each decision, so a change counts from the next one on."""
+
+    def __init__(self, module: ModuleActor, peers: Peers) -> None:
+        self.module, self.peers, self.settings = module, peers, module.router.s
+        self.claims = Claims(peers.name, self.settings.fronts, peers.pace.forget)
+        self.parts = max(self.settings.fronts, 1)
+        peers.on_view(self.viewed)
+
+    def viewed(self, viewed: Viewed) -> None:
+        detector = self.peers.detector
+        known = detector.claims.values() if detector is not None else ()
+        left = [claim.name for claim in known if claim.standing is Standing.LEFT]
+        parts = self.claims.viewed(clock.now(), viewed.members, left)
+        if parts != self.parts:
+            self.parts = parts
+            self.module.router.s = divided(self.settings, parts)
+            self.module.checks.count("changes of this front's part")
