--- a/tests/test_members_shell.py
+++ b/tests/test_members_shell.py
@@ -5,17 +5,23 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from quincepier.checks import Checks
+from quincepier.config import read_front
 from quincepier.membership.section import MembersSection
 from quincepier.net.peers import FRAME_MOST, Peers, PeersError
+from quincepier.net.peers.divide import Divider, divided
 from quincepier.net.peers.frames import Splitter, frame
 from quincepier.net.sockets import Descriptors
 from quincepier.operator import OperatorError, read
+from tests.frontkit import raw_config
 from tests.standins import until
 
 
@@ -174,3 +180,29 @@
         assert counts["exception among the peers"] == len(heard) and counts["peers: a stream not taken"] == 1
 
     played(peers, story)
+
+
+def test_more_fronts_than_the_settings_say_divide_by_those_they_see_and_fewer_by_the_settings() -> None:
+    peers, plain = fleet(4), read_front(raw_config(), {}).settings
+    told = replace(plain, fronts=2, fronts_by_zone=(0, 2))
+
+    def module(settings: Any) -> Any:
+        return SimpleNamespace(router=SimpleNamespace(s=settings), checks=Checks())
+
+    few, enough = module(told), module(replace(told, fronts=6, fronts_by_zone=(1, 5)))
+    Divider(few, peers[0])
+    Divider(enough, peers[1])
+
+    async def story() -> None:
+        await until(lambda: few.router.s.fronts == 4, "four are seen where two were told")
+        assert few.router.s.fronts_by_zone == (0, 4)
+        await until(lambda: len(peers[1].view) == 4, "four are seen where six were told")
+        assert enough.router.s.fronts == 6
+        await peers[3].leave()
+        await until(lambda: few.router.s.fronts == 3, "who said that it leaves gave its claim up")
+
+    played(peers, story)
+    assert (
+        divided(told, 3).fronts_by_zone == (0, 3)
+        and divided(replace(told, fronts=3), 4).fronts_by_zone[1] == 3
+    )
