--- a/quincepier/net/peers/lines.py
+++ b/quincepier/net/peers/lines.py
@@ -174,7 +174,8 @@
             stream = await self._connect(address, line.name) if address is not None else None
         except OSError:  # refused, or not up in time
             stream = None
-        line.dialling = None
+        finally:
+            line.dialling = None
         if stream is None:
             if line.stream is None:
                 self._unreached(line)
--- a/quincepier/net/peers/shell.py
+++ b/quincepier/net/peers/shell.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import os
 import random
 import socket
 import time
 from collections.abc import Callable, Mapping, Sequence
+from functools import lru_cache
 
 from loguru import logger
 
@@ -34,6 +36,15 @@
 BUFFER = 1 << 20  # bytes of datagrams that may wait while this front stands still
 
 
+@lru_cache(KNOWN_MOST)
+def is_ip(host: str) -> bool:
+    """What others announce may be any text; a name would be looked up, and that holds the loop."""
+    try:
+        return bool(ipaddress.ip_address(host))
+    except ValueError:
+        return False
+
+
 class Datagrams(asyncio.DatagramProtocol):
     def __init__(self, peers: Peers) -> None:
         self.peers = peers
@@ -130,7 +141,7 @@
         if (known := self.book.get(name)) is not None:
             return known
         claim = self.detector.claims.get(name) if self.detector is not None else None
-        return claim.address if claim is not None else None
+        return claim.address if claim is not None and is_ip(claim.address[0]) else None
 
     # Life
 
@@ -171,14 +182,18 @@
 
     async def leave(self) -> None:
         """Say so, and end. What was given to streams before still goes out."""
-        detector, self.detector = self.detector, None
-        if detector is None:
+        detector = self.detector
+        if detector is None or detector.left:
             return
         for handle in (self.timer, self.sweeping):
             if handle is not None:
                 handle.cancel()
-        for action in detector.leave(clock.now()):
-            self._perform(action)
+        try:
+            for action in detector.leave(clock.now()):
+                self._perform(action)
+        except Exception as error:  # a defect: the drain goes on
+            self._spoiled(error)
+        self.detector = None
         self.lines.end()
         if self.server is not None:
             self.server.close()
@@ -229,8 +244,7 @@
     def _perform(self, action: Action) -> None:
         match action:
             case Send(address, data):
-                if self.datagrams is not None:
-                    self.datagrams.sendto(data, self._way(address))
+                self._say(data, self._way(address))
             case Exchange(address):
                 self._exchange(address)
             case Viewed():
@@ -238,6 +252,13 @@
             case Twin(address):
                 self.checks.event("another process has this front's name", f"at {address[0]}:{address[1]}")
 
+    def _say(self, data: bytes, address: Address) -> None:
+        try:
+            if self.datagrams is not None and is_ip(address[0]):
+                self.datagrams.sendto(data, address)
+        except (OSError, ValueError, TypeError):  # of another family than the socket's, say
+            self.checks.count("peers: datagrams not sent")
+
     def _whose(self, address: Address) -> str | None:
         """The name of who announced an address."""
         claims = self.detector.claims if self.detector is not None else {}
@@ -256,8 +277,10 @@
             return
         mine = ASKS + self.detector.whole(clock.now())
         name = self._whose(address) or self.names.get(address)
-        if name is None:
+        if name is None and is_ip(address[0]):
             self.lines.ask(address, WHOLE, mine)
+        elif name is None:
+            self.checks.count("peers: datagrams not sent")
         else:
             self.lines.send(name, WHOLE, mine)
 
@@ -265,8 +288,11 @@
         detector = self.detector
         if detector is None:
             return
+        bad = detector.bad
         for action in detector.merge(clock.now(), data[1:]):
             self._perform(action)
+        if detector.bad != bad:
+            self.checks.count("peers: whole views not taken")
         if data[:1] == ASKS:
             self.lines.send(name, WHOLE, ANSWERS + detector.whole(clock.now()))
 
