--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -18,6 +18,7 @@
     from quincepier.net.keeper import Keeper
     from quincepier.net.module import ModuleActor
     from quincepier.net.peers import Peers
+    from quincepier.net.peers.divide import Divider
 
 
 AT_A_START = ("addresses", "state", "members")  # sections that come and go only at a start
@@ -30,6 +31,7 @@
     def __init__(self, path: str) -> None:
         """Raises OperatorError with all that is wrong with the file."""
         self.path, self.file = path, load(path)
+        self.divider: Divider | None = None
 
     @property
     def log_format(self) -> str:
@@ -86,7 +88,7 @@
         if section is None:
             return None
         peers = Peers.told(section, module.config, module.means)
-        Divider(module, peers)
+        self.divider = Divider(module, peers)
         return peers
 
     @property
--- a/quincepier/net/peers/divide.py
+++ b/quincepier/net/peers/divide.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
+from fractions import Fraction
 
 from quincepier import clock
 from quincepier.interface import Settings
 from quincepier.membership import Standing, Viewed
-from quincepier.membership.shares import Claims
+from quincepier.membership.shares import Claims, Holder
 from quincepier.net.module import ModuleActor
 from quincepier.net.peers.shell import Peers
 
@@ -26,13 +28,22 @@
         self.module, self.peers, self.settings = module, peers, module.router.s
         self.claims = Claims(peers.name, self.settings.fronts, peers.pace.forget)
         self.parts = max(self.settings.fronts, 1)
+        # set where the fronts agree: then its lease says how much, and `look` is to be called as that ends
+        self.holder: Holder | None = None
         peers.on_view(self.viewed)
 
     def viewed(self, viewed: Viewed) -> None:
         detector = self.peers.detector
         known = detector.claims.values() if detector is not None else ()
         left = [claim.name for claim in known if claim.standing is Standing.LEFT]
-        parts = self.claims.viewed(clock.now(), viewed.members, left)
+        self.claims.viewed(clock.now(), viewed.members, left)
+        self.look()
+
+    def look(self) -> None:
+        """Take the part that is ours now, before the next decision."""
+        now = clock.now()
+        part = self.holder.part(now) if self.holder else Fraction(1, self.claims.divisor(now))
+        parts = math.ceil(1 / part)
         if parts != self.parts:
             self.parts = parts
             self.module.router.s = divided(self.settings, parts)
--- a/tests/test_members_shell.py
+++ b/tests/test_members_shell.py
@@ -13,9 +13,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from quincepier import clock
 from quincepier.checks import Checks
 from quincepier.config import read_front
 from quincepier.membership.section import MembersSection
+from quincepier.membership.shares import Grant, Holder
 from quincepier.net.peers import FRAME_MOST, Peers, PeersError
 from quincepier.net.peers.divide import Divider, divided
 from quincepier.net.peers.frames import Splitter, frame
@@ -191,7 +193,7 @@
 
     few, enough = module(told), module(replace(told, fronts=6, fronts_by_zone=(1, 5)))
     Divider(few, peers[0])
-    Divider(enough, peers[1])
+    agreeing = Divider(enough, peers[1])
 
     async def story() -> None:
         await until(lambda: few.router.s.fronts == 4, "four are seen where two were told")
@@ -200,6 +202,12 @@
         assert enough.router.s.fronts == 6
         await peers[3].leave()
         await until(lambda: few.router.s.fronts == 3, "who said that it leaves gave its claim up")
+        agreeing.holder = Holder(6, 10 * clock.SECOND, 0)
+        agreeing.look()
+        assert enough.router.s.fronts == 24, "without a lease a quarter of a part"
+        agreeing.holder.granted(clock.now(), clock.now(), Grant((1, 1), 2))
+        agreeing.look()
+        assert enough.router.s.fronts == 3  # two share 5 in 6 of the whole
 
     played(peers, story)
     assert (
