--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -34,7 +34,8 @@
 def test_the_example_is_good_and_its_defaults_are_those_of_the_section() -> None:
     file = load(str(EXAMPLE))
     section, log = file.get(AddressesSection), file.get(LogSection)
-    assert file.names == ["log", "addresses", "clients", "state"] and section is not None and log is not None
+    assert file.names == ["log", "addresses", "clients", "state", "members"]
+    assert section is not None and log is not None
     state = file.get(StateSection)
     assert state == StateSection(folder="/var/lib/quincepier/front-1")
     assert [a.family for a in section.machines["s-1"]] == [Family.IP6, Family.UNIX]
@@ -149,7 +150,8 @@
         f"main(['check-config', '--config', {str(config)!r}] + {{}});"
         "print([m for m in ('yaml', 'msgspec', 'netaddr', 'parsy', 'quincepier.operator',"
         "'quincepier.addresses', 'quincepier.net.dialer', 'zstandard', 'xxhash', 'quincepier.state',"
-        "'quincepier.net.keeper', 'quincepier.recovery.memory', 'quincepier.membership')"
+        "'quincepier.net.keeper', 'quincepier.recovery.memory', 'quincepier.membership',"
+        "'quincepier.net.peers')"
         " if m in sys.modules])"
     )
     off = run("-c", told.format([]))
