--- a/quincepier/consensus/voter.py
+++ b/quincepier/consensus/voter.py
@@ -23,7 +23,7 @@
 
 class Voter:
     """`voters` as the file names them, 3 to 7, this one among them; `saved` as the log on disk gave it, None
-    for a new folder; times in monotonic ns. `seed` is to differ at each start: identities and waits come of it.
+    for a new folder; times in monotonic ns. `seed` differs at each start: of it come identities and waits.
     """
 
     def __init__(
@@ -169,7 +169,7 @@
 
     @property
     def dropped(self) -> dict[str, int]:
-        """What was not taken, by reason: bad, stranger, disk, other identity, older, answer, forgot, proposal."""
+        """What was not taken: bad, stranger, disk, other identity, older, answer, forgot, proposal."""
         return dict(self._mind.dropped)
 
     @property
--- a/quincepier/consensus/voters.py
+++ b/quincepier/consensus/voters.py
@@ -3,7 +3,8 @@
 In plain words: a voter is a name and an identity, and the identity ends with its folder. The first roster
 holds once every voter named in the file is bound to that same one, on its disk; a voter is bound once. After
 that only the log changes it, by one voter, after the change before was committed and something of the
-leader's term too. So one that lost its folder is left out, and taken in as another, by two changes that a quorum agreed.
+leader's term too. So one that lost its folder is left out, and taken in as another,
+by two changes that a quorum agreed.
 """
 
 from __future__ import annotations
--- a/quincepier/state/voterrecords.py
+++ b/quincepier/state/voterrecords.py
@@ -66,7 +66,7 @@
 Record = Mark | Line | Base
 
 
-class Saved(msgspec.Struct, frozen=True, array_like=True):
+class Saved(msgspec.Struct, frozen=True, array_like=True, tag="voter"):
     mark: Mark
     base: Base | None = None  # None: this voter was never told who the voters are
     lines: tuple[Line, ...] = ()
