--- a/quincepier/consensus/voter.py
+++ b/quincepier/consensus/voter.py
@@ -70,7 +70,10 @@
                 mind.send(sender, Hello(mind.roster), word.identity)
         elif voters.marked(mind, word):
             self._hear(mind, word)
-            election.tick(mind) if mind.part is Part.LEADS else None
+            if mind.part is Part.LEADS:
+                election.tick(mind)
+                if mind.now >= mind.due:
+                    replication.beat(mind)
             replication.advance(mind)
         return mind.flush()
 
