--- /dev/null
+++ b/quincepier/lab/explored.py
@@ -0,0 +1,315 @@
+"""Three voters explored whole: each order of words, timeouts, writes, crashes, lost folders within a budget.
+
+Words may be heard never, late, in any order and, within the budget, again. Time stands still and nobody waits
+for a leader (`least` is 0), so what holds here holds without clocks; the lease is played with seeds.
+Each write of a voter is a step of its own; a crash loses those not done. The real `Voter` is what is played.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections import Counter, deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from quincepier.consensus import Pace, Send, Store, Voter
+from quincepier.consensus.mind import Mind, Part
+from quincepier.consensus.words import Word
+from quincepier.lab.agreement import Breach
+from quincepier.state.voterrecords import Base, Kind, Line, Mark, Member, Saved, merged
+
+NOW = 1
+NAMES = ("a", "b", "c")
+PACE = Pace(beat=1, ask=1, least=0, most=1 << 60, lease=0, install=0, keep=4, prevote=False)
+_word = msgspec.msgpack.Decoder(Word).decode
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    timeouts: int = 2
+    beats: int = 1
+    proposals: int = 1
+    crashes: int = 1
+    losses: int = 0  # of folders
+    repeats: int = 0  # words that are heard again
+
+
+class Chance:
+    """No chance: the longest wait, and identities in turn."""
+
+    def randint(self, least: int, most: int) -> int:
+        return most
+
+    def getrandbits(self, bits: int) -> int:
+        return 77
+
+
+@dataclass(slots=True, frozen=True)
+class Node:
+    """One voter's process and its folder. Never changed: a step makes another."""
+
+    voter: Voter
+    disk: Saved
+    writes: tuple[Store, ...] = ()
+    held: tuple[Send, ...] = ()
+    done: int = 0
+    lost: int = 0
+
+    @property
+    def mind(self) -> Mind:
+        return self.voter._mind
+
+    def key(self) -> Any:
+        m = self.mind
+        peers = frozenset((i, p.next, p.match, p.matched_at) for i, p in m.peers.items())
+        mine = (m.identity, m.starts, m.term, m.vote, m.part, m.leader, m.whole, m.first, m.commit)
+        log = (m.disk_index, m.log.base, tuple(m.log.lines), tuple(entry[1] for entry in m.pending))
+        others = (frozenset(m.granted), peers, frozenset(m.seen.items()), frozenset(m.hellos.items()))
+        return (m.name, mine, log, others, self.disk, self.writes, self.held)
+
+
+def copied(voter: Voter) -> Voter:
+    """Another voter of the same mind."""
+    other, mind = copy.copy(voter), copy.copy(voter._mind)
+    mind.log = copy.copy(mind.log)
+    mind.log.lines = list(mind.log.lines)
+    mind.records, mind.words, mind.out = list(mind.records), list(mind.words), list(mind.out)
+    mind.pending = deque([list(entry) for entry in mind.pending])
+    mind.granted, mind.seen, mind.hellos = set(mind.granted), dict(mind.seen), dict(mind.hellos)
+    mind.peers = {i: copy.copy(p) for i, p in mind.peers.items()}
+    mind.dropped = Counter()
+    other._mind = mind
+    return other
+
+
+def begun(name: str, disk: Saved | None, lost: int) -> Node:
+    """A process that starts; its first write is done before anything else, as nothing is sent before it."""
+    voter = Voter(name, NAMES, disk, NOW, (disk.mark.starts if disk else 1000 * lost) + 7, PACE)
+    mind = voter._mind
+    if disk is None:
+        mind.identity = f"{name}{lost}"
+        mind.records, mind.marked = [mind.mark], mind.mark
+    mind.random = Chance()  # type: ignore[assignment]
+    if disk is not None and disk.base is not None:
+        mind.whole = True  # how the first roster comes about is played elsewhere
+    for action in voter.tick(NOW):
+        if isinstance(action, Store):
+            disk = merged(disk, action.records)
+            voter.stored(NOW, action.ticket)
+    assert disk is not None
+    return Node(voter, disk, done=1, lost=lost)
+
+
+def on_disk(saved: Saved, index: int, term: int) -> bool:
+    if saved.base is not None and saved.base.index >= index:
+        return True
+    return any(line.index == index and line.term == term for line in saved.lines)
+
+
+Agreed = tuple[tuple[int, bytes, int], ...]  # term, data, and the term in which it was agreed
+World = tuple[tuple[int, ...], int, Budget, tuple[tuple[int, str], ...], Agreed]
+# nodes, words on the net as bits, what is left, who ever led which term, what was ever agreed
+
+
+@dataclass(slots=True)
+class Explored:
+    states: int = 0
+    depth: int = 0
+    whole: bool = True  # everything within the budget was seen
+
+
+class Explorer:
+    """Nodes and words are numbered, and what a node does at an event is worked out once: worlds are small."""
+
+    def __init__(self, left: Budget, logs: dict[str, tuple[int, ...]] | None = None, term: int = 0) -> None:
+        """`logs`: terms of the entries that each has on its disk already."""
+        self.nodes: list[Node] = []
+        self.numbers: dict[Any, int] = {}
+        self.words: list[tuple[int, int, str, bytes]] = []  # to whom, term, from whom
+        self.word_numbers: dict[tuple[int, str, bytes], int] = {}
+        self.did: dict[tuple[int, Any], tuple[int, int]] = {}
+        self.dead: dict[tuple[int, int], int] = {}
+        self.alike = logs is None
+        roster = tuple(Member(n, n + "0") for n in NAMES)
+        begin = []
+        for name in NAMES:
+            terms = (logs or {}).get(name, ())
+            lines = tuple(Line(i + 1, t, Kind.DATA, b"%d" % t) for i, t in enumerate(terms))
+            saved = Saved(Mark(name + "0", 1, max((term, *terms))), Base(0, 0, roster), lines)
+            begin.append(self.number(begun(name, saved, 0)))
+        self.begin: World = (tuple(begin), 0, left, (), ())
+
+    def number(self, node: Node) -> int:
+        key = node.key()
+        found = self.numbers.get(key)
+        if found is None:
+            found = self.numbers[key] = len(self.nodes)
+            self.nodes.append(node)
+        return found
+
+    def word(self, to: str, sender: str, raw: bytes) -> int:
+        key = (NAMES.index(to), sender, raw)
+        found = self.word_numbers.get(key)
+        if found is None:
+            found = self.word_numbers[key] = len(self.words)
+            self.words.append((key[0], _word(raw).term, sender, raw))
+            self.dead.clear()
+        return 1 << found
+
+    def dead_below(self, to: int, term: int) -> int:
+        """Words that can make nothing any more of a receiver with that term on its disk."""
+        mask = self.dead.get((to, term))
+        if mask is None:
+            told = [1 << n for n, w in enumerate(self.words) if w[0] == to and w[1] < term]
+            mask = self.dead[to, term] = sum(told)
+        return mask
+
+    def does(self, number: int, event: Any) -> tuple[int, int]:
+        """The node after the event, and what it has sent."""
+        known = self.did.get((number, event))
+        if known is not None:
+            return known
+        node = self.nodes[number]
+        voter, disk, writes, done = copied(node.voter), node.disk, list(node.writes), node.done
+        held, mind = list(node.held), voter._mind
+        match event:
+            case "write":
+                done = writes[0].ticket
+                kept = merged(disk, writes.pop(0).records)
+                assert kept is not None
+                disk, actions = kept, voter.stored(NOW, done)
+            case "timer":
+                mind.due = mind.asks_due = NOW
+                actions = voter.tick(NOW)
+            case ("propose", data):
+                actions = voter.propose(NOW, data)
+            case "crash" | "lose":
+                kept_disk = disk if event == "crash" else None
+                new = begun(mind.name, kept_disk, node.lost + (event == "lose"))
+                told = self.did[number, event] = (self.number(new), 0)
+                return told
+            case _:
+                _, _, sender, raw = self.words[event]
+                actions = voter.heard(NOW, sender, raw)
+        sent = 0
+        for action in actions:
+            if isinstance(action, Store):
+                writes.append(action)
+            elif isinstance(action, Send) and action not in held:
+                held.append(action)
+        for send in [s for s in held if s.after <= done]:
+            held.remove(send)
+            sent |= self.word(send.to, mind.name, send.data)
+        after = Node(voter, disk, tuple(writes), tuple(held), done, node.lost)
+        result = self.did[number, event] = (self.number(after), sent)
+        return result
+
+    def after(self, world: World, place: int, event: Any, left: Budget) -> World | None:
+        """The world after an event at one node, if it keeps the rules; None: nothing has changed."""
+        nodes, words, was, leaders, agreed = world
+        number, sent = self.does(nodes[place], event)
+        if number == nodes[place] and not sent & ~words and left is was:
+            return None
+        if isinstance(event, int) and left is was:
+            words &= ~(1 << event)
+        words |= sent
+        if number != nodes[place]:
+            nodes = (*nodes[:place], number, *nodes[place + 1 :])
+            leaders, agreed = self.judged(nodes, self.nodes[number], leaders, agreed)
+        for to, n in enumerate(nodes):
+            words &= ~self.dead_below(to, self.nodes[n].disk.mark.term)
+        return nodes, words, left, leaders, agreed
+
+    def judged(
+        self,
+        nodes: tuple[int, ...],
+        node: Node,
+        leaders: tuple[tuple[int, str], ...],
+        agreed: Agreed,
+    ) -> tuple[tuple[tuple[int, str], ...], Agreed]:
+        mind, log = node.mind, node.mind.log
+        found = {line.index: (line.term, line.data) for line in log.lines}
+        if mind.part is Part.LEADS and (mind.term, mind.identity) not in leaders:
+            if any(term == mind.term for term, _ in leaders):
+                raise Breach(f"two leaders of term {mind.term}")
+            leaders = tuple(sorted((*leaders, (mind.term, mind.identity))))
+            for index, (term, data, by) in enumerate(agreed, 1):
+                if index > log.begin and mind.term > by and found.get(index) != (term, data):
+                    raise Breach(f"who leads term {mind.term} has not the agreed entry {index}")
+        for index in range(log.begin + 1, mind.commit + 1):
+            if index not in found:
+                raise Breach(f"entry {index} is called agreed where it is not")
+            if index <= len(agreed):
+                if agreed[index - 1][:2] != found[index]:
+                    raise Breach(f"entry {index} was agreed as another")
+                continue
+            agreed = (*agreed, (*found[index], mind.term))
+            members = {m.identity for m in mind.roster}
+            disks = [self.nodes[n].disk for n in nodes]
+            have = sum(d.mark.identity in members and on_disk(d, index, found[index][0]) for d in disks)
+            if have < len(members) // 2 + 1:
+                raise Breach(f"entry {index} is agreed with {have} disks")
+        return leaders, agreed
+
+    def steps(self, world: World) -> Iterator[World]:
+        """Every world that may come next."""
+        nodes, words, left, _, _ = world
+        alike = self.alike and world == self.begin  # then it does not matter which of them is first
+        for place, number in enumerate(nodes[:1] if alike else nodes):
+            node = self.nodes[number]
+            mind, events = node.mind, list[tuple[Any, Budget]]()
+            leads = mind.part is Part.LEADS
+            if node.writes:
+                events.append(("write", left))
+            if leads and left.beats:
+                events.append(("timer", replace(left, beats=left.beats - 1)))
+            if not leads and left.timeouts and mind.member and not node.writes:
+                events.append(("timer", replace(left, timeouts=left.timeouts - 1)))
+            if leads and left.proposals:
+                data = b"p%d" % left.proposals
+                events.append((("propose", data), replace(left, proposals=left.proposals - 1)))
+            if left.crashes:
+                events.append(("crash", replace(left, crashes=left.crashes - 1)))
+            if left.losses:
+                events.append(("lose", replace(left, losses=left.losses - 1)))
+            for event, spent in events:
+                world_after = self.after(world, place, event, spent)
+                if world_after is not None:
+                    yield world_after
+        rest = words
+        while rest:
+            bit = rest & -rest
+            rest ^= bit
+            word = bit.bit_length() - 1
+            world_after = self.after(world, self.words[word][0], word, left)
+            if world_after is not None:
+                yield world_after
+                if left.repeats:
+                    again = replace(left, repeats=left.repeats - 1)
+                    heard = self.after(world, self.words[word][0], word, again)
+                    if heard is not None:
+                        yield heard
+
+    def explore(self, most: int = 1 << 30) -> Explored:
+        """All worlds that can come of the first, each once; Breach where a rule does not hold."""
+        seen, told = {hash(self.begin)}, Explored()
+        stack = [self.steps(self.begin)]
+        while stack:
+            world = next(stack[-1], None)
+            if world is None:
+                stack.pop()
+                continue
+            key = hash(world)
+            if key in seen:
+                continue
+            seen.add(key)
+            told.depth = max(told.depth, len(stack))
+            if len(seen) >= most:
+                told.whole = False
+                break
+            stack.append(self.steps(world))
+        told.states = len(seen)
+        return told
