--- a/bench/agree.py
+++ b/bench/agree.py
@@ -1,7 +1,7 @@
 """By hand: how many worlds of three voters there are within a budget, and how far seeds get with all faults.
 
-    python bench/agree.py whole [MOST]    # each budget explored, at most so many states
-    python bench/agree.py times           # elections, agreement, cost, with and without faults
+python bench/agree.py whole [MOST]    # each budget explored, at most so many states
+python bench/agree.py times           # elections, agreement, cost, with and without faults
 """
 
 from __future__ import annotations
@@ -36,30 +36,31 @@
 def times() -> None:
     for voters in (3, 5, 7):
         for way in ((MS // 2, MS), (500 * MS, 500 * MS)):
-            first, killed, agree, rest = [], [], [], []
-            for seed in range(20):
-                net = VoterNet(voters, seed)
-                net.way = way
-                net.start()
-                first.append(net.until(lambda: net.leader is not None) / SECOND)
-                net.run(3 * SECOND)
-                for n in range(5):
-                    at = net.leader
-                    if at is not None:
-                        at.propose(b"%d" % n)
-                        wanted = b"%d" % n
-                        seats = list(net.seats.values())
-                        agree.append(net.until(lambda: all(s.newest and s.newest.data == wanted for s in seats)) / MS)
-                sent, size = net.sent, net.bytes
-                net.run(10 * SECOND)
-                rest.append(((net.sent - sent) / 10, (net.bytes - size) / 10))
-                old = net.leader
-                if old is not None:
-                    old.kill()
-                    killed.append(net.until(lambda: net.leader is not None and net.leader is not old) / SECOND)
-            print(voters, "voters", way[0] / MS, "ms one way;", "first", spread(first), "killed", spread(killed))
-            words, size = statistics.mean(r[0] for r in rest), statistics.mean(r[1] for r in rest)
-            print("   agreed by all, ms", spread(agree), f"at rest {words:.0f} words, {size:.0f} bytes a second")
+            runs = [timed(voters, seed, way) for seed in range(20)]
+            first, killed = spread([r[0] for r in runs]), spread([r[1] for r in runs])
+            agree = spread([time for r in runs for time in r[2]])
+            words, size = statistics.mean(r[3] for r in runs), statistics.mean(r[4] for r in runs)
+            print(voters, "voters", way[0] / MS, "ms one way; first", first, "s, after a kill", killed, "s")
+            print(f"   agreed by all {agree} ms; at rest {words:.0f} words, {size:.0f} bytes/s", flush=True)
+
+
+def timed(voters: int, seed: int, way: tuple[int, int]) -> tuple[float, float, list[float], float, float]:
+    net, agree = VoterNet(voters, seed), list[float]()
+    net.way = way
+    net.start()
+    first = net.until(lambda: net.leader is not None) / SECOND
+    net.run(3 * SECOND)
+    old, seats = net.leader, list(net.seats.values())
+    assert old is not None
+    for wanted in (b"1", b"2", b"3", b"4", b"5"):
+        old.propose(wanted)
+        agree.append(net.until(lambda w=wanted: all(s.newest and s.newest.data == w for s in seats)) / MS)
+    sent, size = net.sent, net.bytes
+    net.run(10 * SECOND)
+    sent, size = net.sent - sent, net.bytes - size
+    old.kill()
+    killed = net.until(lambda: net.leader is not None and net.leader is not old) / SECOND
+    return first, killed, agree, sent / 10, size / 10
 
 
 def spread(values: list[float]) -> str:
--- a/quincepier/consensus/election.py
+++ b/quincepier/consensus/election.py
@@ -57,10 +57,22 @@
     return (question.last_term, question.last_index) >= (mind.log.last_term, mind.log.last)
 
 
+def yields(mind: Mind, word: Word, question: Ask) -> bool:
+    """Of two that ask at once one goes first: on slow ways both would stand, and neither have a quorum."""
+    theirs = (question.last_term, question.last_index, word.identity)
+    return word.identity in mind.deferred or theirs > (mind.log.last_term, mind.log.last, mind.identity)
+
+
 def asked(mind: Mind, word: Word, question: Ask) -> None:
     bound = mind.part is Part.LEADS or mind.now < mind.heard_leader + mind.pace.least
     if question.pre:
         granted = not bound and question.term > mind.term and newer(mind, question)
+        if granted and mind.part is Part.ASKS and not yields(mind, word, question):
+            granted = False
+        elif granted and mind.part is not Part.STANDS and word.identity not in mind.deferred:
+            # once for each: one that asks for ever and is never answered would keep all others back
+            mind.deferred.add(word.identity)
+            mind.part, mind.due = Part.FOLLOWS, mind.now + mind.span()
         mind.send(word.name, Vote(True, question.term, granted), word.identity)
         return
     if bound:
--- a/quincepier/consensus/mind.py
+++ b/quincepier/consensus/mind.py
@@ -62,7 +62,7 @@
     next: int  # index to be sent next; 0: it needs the snapshot
     match: int = 0  # it has the leader's log on disk up to here
     acked: int = 0  # the leader's time at which the newest word that it answered was sent
-    matched_at: int = 0  # that of the answer that set `match`
+    matched_by: tuple[int, int] = (0, 0)  # start and number of the answer that set `match`
     reset_at: int = 0
     installed_at: int = 0
     heard: int = 0
@@ -103,6 +103,8 @@
         self.hellos: dict[str, tuple[str, tuple[Member, ...], int]] = {}  # identity, roster and when, by name
         self.whole = bool(self.log.last or self.term)  # all voters were bound to the first roster
         self.dropped = Counter[str]()
+        self.answers = 0
+        self.deferred: set[str] = set()  # identities that this voter let go first since it heard a leader
         self.forgot = 0  # times that this voter was told off
         if self.log.base is not None and self.log.base.data_index:
             base = self.log.base
--- a/quincepier/consensus/replication.py
+++ b/quincepier/consensus/replication.py
@@ -61,6 +61,12 @@
         mind.follow(word.term)
     mind.leader, mind.heard_leader, mind.whole = word.name, mind.now, True
     mind.due = mind.now + mind.span()
+    mind.deferred.clear()
+
+
+def answer(mind: Mind, word: Word, at: int, taken: bool, match: int) -> None:
+    mind.answers += 1
+    mind.send(word.name, Appended(at, taken, match, mind.log.last, mind.answers), word.identity)
 
 
 def append(mind: Mind, word: Word, given: Append) -> None:
@@ -75,13 +81,13 @@
         known = log.term_at(prev) == given.prev_term
     if not known or log.base is None:
         back = min(log.last, prev - 1) if prev else 0
-        mind.send(word.name, Appended(given.at, False, back, log.last), word.identity)
+        answer(mind, word, given.at, False, back)
         return
     for line in lines:
         if log.term_at(line.index) != line.term:
             mind.append(line)
     match = prev + len(lines)
-    mind.send(word.name, Appended(given.at, True, match, log.last), word.identity)
+    answer(mind, word, given.at, True, match)
     commit(mind, min(given.commit, match))
 
 
@@ -98,7 +104,7 @@
         mind.commit = mind.told = max(mind.commit, base.index)
         if base.data_index:
             mind.out.append(Committed(base.data_index, base.data_term, base.data))
-    mind.send(word.name, Appended(given.at, True, base.index, mind.log.last), word.identity)
+    answer(mind, word, given.at, True, base.index)
 
 
 def appended(mind: Mind, word: Word, answer: Appended) -> None:
@@ -107,15 +113,16 @@
         mind.dropped["answer"] += 1
         return
     peer.heard = mind.now
-    if answer.last < peer.match and answer.at > peer.matched_at:
+    by = (word.starts, answer.number)
+    if answer.last < peer.match and by > peer.matched_by:
         # it has forgotten what it once had on its disk: nothing that it says may count any more
         mind.dropped["forgot"] += 1
         mind.send(word.name, Off(word.starts, word.nonce), word.identity)
         return
     peer.acked = max(peer.acked, answer.at)
     if answer.taken:
-        if answer.match > peer.match or not peer.matched_at:
-            peer.match, peer.matched_at = answer.match, answer.at
+        if answer.match > peer.match or not peer.matched_by[0]:
+            peer.match, peer.matched_by = answer.match, by
         peer.next = max(peer.next, answer.match + 1)
     elif answer.at >= peer.reset_at:
         peer.reset_at, peer.next = mind.now, max(min(peer.next - 1, answer.match + 1), peer.match + 1)
--- a/quincepier/consensus/voter.py
+++ b/quincepier/consensus/voter.py
@@ -92,8 +92,8 @@
             case Vote():
                 election.voted(mind, word, body)
             case _ if word.term < mind.term:
-                if not isinstance(body, Appended):  # so that an old leader learns of the new term
-                    mind.send(word.name, Appended(body.at, False, 0, mind.log.last), word.identity)
+                if isinstance(body, Append | Install):  # so that an old leader learns of the new term
+                    replication.answer(mind, word, body.at, False, 0)
             case Append() if mind.part is not Part.LEADS:
                 replication.append(mind, word, body)
             case Install() if mind.part is not Part.LEADS:
--- a/quincepier/consensus/voters.py
+++ b/quincepier/consensus/voters.py
@@ -80,7 +80,7 @@
         if name in roster or said is None or mind.now - said[2] > pace.most or len(roster) >= VOTERS_MOST:
             continue
         peer = mind.peers.setdefault(said[0], Peer(0, heard=mind.now))
-        if peer.match >= log.begin and peer.match >= mind.commit and peer.matched_at:
+        if peer.match >= log.begin and peer.match >= mind.commit and peer.matched_by[0]:
             set_roster(mind, {**roster, name: said[0]})
             return
 
--- a/quincepier/consensus/words.py
+++ b/quincepier/consensus/words.py
@@ -58,6 +58,7 @@
     taken: bool
     match: Number  # the log is the leader's up to here; not taken: try after this
     last: Number  # last index of the log
+    number: Number  # of this answer, by the process that gives it: words may come in another order
 
 
 class Install(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/quincepier/lab/explored.py
+++ b/quincepier/lab/explored.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import copy
+import random
 from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
@@ -64,10 +65,11 @@
 
     def key(self) -> Any:
         m = self.mind
-        peers = frozenset((i, p.next, p.match, p.matched_at) for i, p in m.peers.items())
+        peers = frozenset((i, p.next, p.match, p.matched_by) for i, p in m.peers.items())
         mine = (m.identity, m.starts, m.term, m.vote, m.part, m.leader, m.whole, m.first, m.commit)
         log = (m.disk_index, m.log.base, tuple(m.log.lines), tuple(entry[1] for entry in m.pending))
-        others = (frozenset(m.granted), peers, frozenset(m.seen.items()), frozenset(m.hellos.items()))
+        others: tuple[object, ...] = (frozenset(m.deferred),)
+        others += (frozenset(m.granted), peers, frozenset(m.seen.items()), frozenset(m.hellos.items()))
         return (m.name, mine, log, others, self.disk, self.writes, self.held)
 
 
@@ -81,6 +83,7 @@
     mind.granted, mind.seen, mind.hellos = set(mind.granted), dict(mind.seen), dict(mind.hellos)
     mind.peers = {i: copy.copy(p) for i, p in mind.peers.items()}
     mind.dropped = Counter()
+    mind.answers = 0  # one number for all: only a word of another start can tell of what was forgotten
     other._mind = mind
     return other
 
@@ -293,6 +296,14 @@
                     if heard is not None:
                         yield heard
 
+    def walk(self, seed: int, walks: int) -> None:
+        """So many ways by chance, each to its end: finds a breach sooner than all worlds in turn."""
+        chance = random.Random(seed)
+        for _ in range(walks):
+            world = self.begin
+            while nexts := list(self.steps(world)):
+                world = chance.choice(nexts)
+
     def explore(self, most: int = 1 << 30) -> Explored:
         """All worlds that can come of the first, each once; Breach where a rule does not hold."""
         seen, told = {hash(self.begin)}, Explored()
