--- a/quincepier/rules/__init__.py
+++ b/quincepier/rules/__init__.py
@@ -6,6 +6,8 @@
 """
 
 from quincepier.rules.errors import RulesError
+from quincepier.rules.leases import Ask, Grant, Holder, Pace, decode_ask, decode_grant, encode_words
+from quincepier.rules.ledger import Ledger
 from quincepier.rules.reports import FrontReport, MachineSeen, Seen, Service
 from quincepier.rules.version import (
     Allowance,
@@ -25,14 +27,19 @@
 
 __all__ = [
     "Allowance",
+    "Ask",
     "Change",
     "FrontReport",
+    "Grant",
+    "Holder",
     "Home",
+    "Ledger",
     "MachineSeen",
     "Move",
     "MoveStep",
     "Order",
     "OrderStep",
+    "Pace",
     "RuleVersion",
     "RulesError",
     "Seen",
@@ -40,6 +47,9 @@
     "Shard",
     "apply",
     "decode",
+    "decode_ask",
+    "decode_grant",
     "encode",
+    "encode_words",
     "first",
 ]
--- /dev/null
+++ b/quincepier/rules/leases.py
@@ -0,0 +1,152 @@
+"""Who decides by which version: a lease that a front holds, and the leader's ledger of what it granted.
+
+What holds, in plain words: while the leader says that a number is in force, no front that has a lease decides
+by an older one, and every other front keeps to its cautious set. A front counts its lease from when it
+asked, the leader from when it answered and longer by `Pace.margin`, so the front's always ends first, as long
+as two clocks differ in pace by less than that. Both use a monotonic clock that also runs while the process or
+its machine stands still (CLOCK_BOOTTIME); whoever decides asks `Holder.cautious` with a clock read at that
+decision, so that a standstill ends the lease before the next decision and not by a timer after it.
+
+Gray and Cheriton, Leases (1989); the wait of a new leader as in Ongaro's thesis, section 6.4.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+
+from quincepier.rules.errors import RulesError
+from quincepier.rules.reports import FrontReport
+from quincepier.rules.version import RuleVersion, first
+
+MS = 1_000_000
+ASKS_MOST = 16  # of one front that wait for an answer
+FRONTS_MOST = 4096
+ASK_MOST = 1 << 20  # bytes of an ask, its report included
+GRANT_MOST = 256
+Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 62))]
+
+
+@dataclass(slots=True, frozen=True)
+class Pace:
+    """Nanoseconds. The lease bounds for how long a request that may not be repeated can be refused while a
+    tenant moves; the asks are four to a lease, so that three in a row may be lost."""
+
+    lease: int = 1000 * MS
+    every: int = 250 * MS  # between asks
+    margin: float = 0.05  # by which the leader counts longer: two clocks each wrong by 2 in 100
+    attempt: int = 10_000 * MS  # the longest an attempt can be open; the shell gives that of its settings
+    gone: int = 120_000 * MS  # after which a front that fell silent is held to be no more
+
+    def __post_init__(self) -> None:
+        if min(self.lease, self.every, self.attempt, self.gone) <= 0 or not 0 < self.margin < 1:
+            raise RulesError("times of leases are above 0, the margin between 0 and 1", "pace")
+
+    def longer(self, span: int) -> int:
+        return span + int(span * self.margin) + 1
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True):
+    """A front's report; the leader answers it by a grant."""
+
+    token: Number
+    report: FrontReport
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """The newest agreed version by number; a lease of 0: adopt that first, then ask again."""
+
+    start: Number  # incarnation of the front that asked
+    token: Number
+    number: Number
+    lease_ms: Annotated[int, msgspec.Meta(ge=0, le=60_000)]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_ask, _grant = msgspec.msgpack.Decoder(Ask), msgspec.msgpack.Decoder(Grant)
+
+
+def encode_words(words: Ask | Grant) -> bytes:
+    return _encode(words)
+
+
+def decode_ask(raw: bytes) -> Ask:
+    """RulesError for anything that is none."""
+    if len(raw) > ASK_MOST:
+        raise RulesError("an ask is too long")
+    try:
+        return _ask.decode(raw)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise RulesError(f"not an ask: {str(error)[:100]}") from None
+
+
+def decode_grant(raw: bytes) -> Grant:
+    """RulesError for anything that is none."""
+    if len(raw) > GRANT_MOST:
+        raise RulesError("a grant is too long")
+    try:
+        return _grant.decode(raw)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise RulesError(f"not a grant: {str(error)[:100]}") from None
+
+
+class Holder:
+    """One front's side: the version that it decides by, and for how long it is sure of it.
+
+    It starts without a lease, whatever an earlier start of it held.
+    """
+
+    __slots__ = ("pace", "start", "version", "until", "token", "asked", "next", "doubted")
+
+    def __init__(self, start: int, now: int, pace: Pace, version: RuleVersion | None = None) -> None:
+        self.pace, self.start = pace, start
+        self.version = version or first()  # one kept over a start counts for the cautious set alone
+        self.until = now  # its own clock; a lease ends as this is reached
+        self.token, self.asked = 0, dict[int, int]()  # when each open ask was made
+        self.next = now  # when to ask again
+        self.doubted = -1  # the number by which it was found to decide otherwise than most
+
+    def cautious(self, now: int) -> bool:
+        """To be asked at each decision, with a clock read then."""
+        return now >= self.until or self.doubted == self.version.number
+
+    def blank(self) -> bool:
+        """Whether it never had a version: it knows of no order and waits a little."""
+        return self.version.number == 0
+
+    def ask(self, now: int) -> int:
+        """The token of a new ask. `now` is read before the ask is handed to the transport."""
+        self.token += 1
+        self.asked[self.token] = now
+        if len(self.asked) > ASKS_MOST:
+            del self.asked[next(iter(self.asked))]
+        self.next = now + self.pace.every
+        return self.token
+
+    def adopt(self, version: RuleVersion) -> bool:
+        """Whether it is newer. RulesError where two versions have one number: then it is in doubt of it."""
+        mine = self.version
+        if version.number == mine.number and version.number and version.digest != mine.digest:
+            self.doubted = mine.number
+            raise RulesError(f"two versions of number {mine.number}", f"digest {version.digest}")
+        if version.number <= mine.number:
+            return False
+        self.version = version
+        return True
+
+    def granted(self, now: int, grant: Grant, version: RuleVersion | None = None) -> bool:
+        """An answer came, with the version it names where that came along. Whether a newer one was adopted:
+        then it asks again at once, since only that ask is answered with a lease."""
+        if grant.start != self.start:
+            return False  # meant for an earlier start of this front
+        adopted = version is not None and self.adopt(version)
+        asked = self.asked.pop(grant.token, None)
+        for token in [t for t in self.asked if t < grant.token]:
+            del self.asked[token]
+        if asked is not None and grant.lease_ms and grant.number <= self.version.number:
+            self.until = max(self.until, asked + min(grant.lease_ms * MS, self.pace.lease))
+        if adopted:
+            self.next = now
+        return adopted
--- /dev/null
+++ b/quincepier/rules/ledger.py
@@ -0,0 +1,172 @@
+"""The leader's side of leases: what each front last said, until when it may still decide by it.
+
+A new leader knows of no grant of the one before. It waits a whole lease, counted from when it was elected,
+before it takes any front that it has not heard to be without one, and the longest attempt besides before it
+takes what such a front had open to have ended. It grants only while no other voter can have been elected
+(`sure_until`, the voter's own lease), or the wait of the next leader would not cover what it grants.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from quincepier.rules.leases import FRONTS_MOST, MS, Ask, Grant, Pace
+from quincepier.rules.reports import FrontReport, MachineSeen, Seen
+from quincepier.rules.version import RuleVersion
+
+
+@dataclass(slots=True)
+class _Front:
+    report: FrontReport
+    token: int
+    number: int  # by which it decides, or did when it was last heard
+    until: int  # our clock: from then on it has no lease for certain
+    ended: int  # from then on nothing that it opened before is open, unless it is heard again
+    before: FrontReport | None = None  # the last word of an earlier start under its name,
+    before_until: int = 0  # which may still decide until then
+    before_ended: int = 0  # and have attempts open until then
+
+
+def _both(last: FrontReport, earlier: FrontReport | None) -> FrontReport:
+    """One line for all earlier starts of a front that may have something open."""
+    if earlier is None:
+        return last
+    open_at = dict(earlier.open_at)
+    open_at.update(last.open_at)
+    keyed = {(tenant, shard): count for tenant, shard, count in (*earlier.open_keyed, *last.open_keyed)}
+    return msgspec.structs.replace(
+        last,
+        number=min(last.number, earlier.number),
+        open_at=tuple(sorted(open_at.items())),
+        open_keyed=tuple((tenant, shard, count) for (tenant, shard), count in sorted(keyed.items())),
+    )
+
+
+class Ledger:
+    """Made anew by each front that comes to lead, with the moment of its election."""
+
+    __slots__ = ("pace", "began", "newest", "digest", "fronts", "force", "force_since", "no_more", "away")
+
+    def __init__(self, now: int, pace: Pace, newest: RuleVersion) -> None:
+        self.pace, self.began = pace, now
+        self.newest, self.digest = newest.number, newest.digest
+        self.fronts = dict[str, _Front]()
+        self.force, self.force_since = 0, now
+        self.no_more = frozenset[str]()
+        self.away = 0  # asks of fronts beyond the most that are kept
+
+    def agreed(self, version: RuleVersion) -> None:
+        """A newer version was committed: leases are granted to who decides by it alone."""
+        if version.number > self.newest:
+            self.newest, self.digest = version.number, version.digest
+
+    def heard(self, now: int, ask: Ask, sure_until: int) -> Grant | None:
+        """The answer to an ask; None to one that is late or repeated. `now` is read after the ask came in."""
+        pace, report = self.pace, ask.report
+        known = self.fronts.get(report.front)
+        if known is None:
+            if len(self.fronts) >= FRONTS_MOST:
+                self.away += 1
+                return None  # what is not kept in the ledger must have no lease
+            known = _Front(report, 0, 0, now, now + pace.longer(pace.attempt))
+            self.fronts[report.front] = known
+        elif report.start < known.report.start:
+            return None
+        elif report.start > known.report.start:
+            # One start follows the other, but not where somebody started it elsewhere while it was cut off:
+            # what the earlier one holds, and has open, counts until it has run out.
+            earlier = known.before if now < known.before_ended else None
+            known.before = _both(msgspec.structs.replace(known.report, number=known.number), earlier)
+            known.before_until = max(known.before_until, known.until)
+            known.before_ended = max(known.before_until, now) + pace.longer(pace.attempt)
+            known.token, known.until = 0, now
+        elif ask.token <= known.token:
+            return None
+        same = report.number != self.newest or report.digest == self.digest
+        known.report, known.token = report, ask.token
+        known.number = report.number if same else max(report.number - 1, 0)
+        lease = 0
+        if same and report.number >= self.newest and now < sure_until:
+            lease = pace.lease // MS
+            known.until = max(known.until, now + pace.longer(lease * MS))
+        known.ended = max(known.ended, known.until + pace.longer(pace.attempt))
+        return Grant(report.start, ask.token, self.newest, lease)
+
+    def dropped(self, names: Iterable[str]) -> None:
+        """Operators say that these fronts are no more: they hold nothing up until they are heard again."""
+        self.no_more = frozenset(names)
+
+    def in_force(self, now: int) -> int:
+        """The highest number that no front with a lease is below; 0 while an earlier leader's may run."""
+        if now < self.began + self.pace.longer(self.pace.lease):
+            return 0
+        numbers = [self.newest]
+        for known in self.fronts.values():
+            if known.until > now:
+                numbers.append(known.number)
+            if known.before is not None and known.before_until > now:
+                numbers.append(known.before.number)
+        return min(numbers)
+
+    def told(self, now: int, names: Iterable[str]) -> int:
+        """The highest number that every front was told of, those without a lease too: a front that missed the
+        version in which an order is first named does not know what it has to keep from."""
+        if now < self.began + self.pace.longer(self.pace.lease):
+            return 0
+        if any(name not in self.fronts and name not in self.no_more for name in names):
+            return 0
+        waited = [k for n, k in self.fronts.items() if k.until > now or n not in self.no_more]
+        befores = [k.before.number for k in waited if k.before is not None and k.before_until > now]
+        return min([self.newest, *befores, *(k.number for k in waited)])
+
+    def lapsed(self, now: int) -> bool:
+        """Whether every front without a lease has lost it for certain and ended what it had open."""
+        pace = self.pace
+        if now < self.began + pace.longer(pace.lease) + pace.longer(pace.attempt):
+            return False
+        return all(k.until > now or now >= k.ended for k in self.fronts.values())
+
+    def seen(
+        self,
+        now: int,
+        view: tuple[str, ...],
+        machines: Mapping[str, MachineSeen],
+        voters: tuple[str, ...],
+        leader: str,
+        alike: bool | None = None,
+        usual: Mapping[str, float] | None = None,
+        silent: Iterable[str] = (),
+    ) -> Seen:
+        """All that a step is decided by. `view`: the members; `silent`: those that membership remembers
+        though it put them out. A front that is in neither, and lapsed for `Pace.gone`, is forgotten.
+
+        The reports hold a second line, `NAME@START`, of a front that started anew, for as long as its earlier
+        start may have something open.
+        """
+        names = {*view, *silent}
+        for name in [n for n, k in self.fronts.items() if n not in names and now >= k.until + self.pace.gone]:
+            del self.fronts[name]
+        force = self.in_force(now)
+        if force != self.force:
+            self.force, self.force_since = force, now
+        reports = {name: known.report for name, known in self.fronts.items() if known.until > now}
+        for name, known in self.fronts.items():
+            if known.before is not None and now < known.before_ended:
+                reports[f"{name}@{known.before.start}"] = known.before
+        return Seen(
+            now,
+            view,
+            reports,
+            self.lapsed(now),
+            force,
+            now - self.force_since,
+            dict(machines),
+            voters,
+            leader,
+            alike,
+            dict(usual or {}),
+            self.told(now, names),
+        )
--- a/quincepier/rules/reports.py
+++ b/quincepier/rules/reports.py
@@ -66,3 +66,5 @@
     leader: str
     alike: bool | None = None  # whether all fronts were found to decide alike by `in_force`; None: not known
     usual: dict[str, float] = field(default_factory=dict)  # tenant to worth in time over worth, before orders
+    # highest number that every front was told of, with a lease or without; None: taken to be `in_force`
+    told: int | None = None
