--- /dev/null
+++ b/quincepier/maintenance/service.py
@@ -0,0 +1,40 @@
+"""Whether the tenants are served as before: worth in time over worth asked for, against the usual."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from quincepier.maintenance.section import MaintenanceSection
+from quincepier.rules.reports import Seen
+
+
+@dataclass(slots=True, frozen=True)
+class Standing:
+    """Each is empty where it is well, else the reason."""
+
+    fallen: str  # below the floor
+    lower: str  # not as before
+
+
+def standing(wishes: MaintenanceSection, seen: Seen) -> Standing:
+    """A tenant of which too few answers are in, or whose usual is not known, is not judged; where anybody
+    asks and nothing usual is known at all, service is not known to be as before."""
+    sums = dict[str, tuple[int, float, float]]()
+    for name, report in seen.reports.items():
+        for row in report.service if name == report.front else ():
+            if not row.shard:
+                asked, worth, good = sums.get(row.tenant, (0, 0.0, 0.0))
+                sums[row.tenant] = (asked + row.asked, worth + row.worth, good + row.in_time)
+    fallen = lower = ""
+    for tenant, usual in sorted(seen.usual.items()):
+        asked, worth, good = sums.get(tenant, (0, 0.0, 0.0))
+        if asked < wishes.enough or worth <= 0:
+            continue
+        told = f"service of {tenant or 'all'} is {good / worth:.3f}, usually {usual:.3f}"
+        if good / worth < usual * wishes.floor:
+            fallen = fallen or told
+        if good / worth < usual * wishes.as_before:
+            lower = lower or told
+    if not seen.usual and any(asked >= wishes.enough for asked, _, _ in sums.values()):
+        lower = "the usual service is not known yet"
+    return Standing(fallen, lower)
--- /dev/null
+++ b/quincepier/maintenance/steps.py
@@ -0,0 +1,259 @@
+"""The steps of orders: one pure function from version, wishes and what is seen to the next change, or none.
+
+The rules, each in force over every leader, since all that they rest on is in the version or in `seen`:
+
+1. An order goes a step further only when its step is in force: no front with a lease is two steps behind.
+2. It is told to every front as waiting before it drains, those without a lease too (`seen.told`).
+3. Never more are out than allowed; those that wait, warm or broke by themselves count (`room.py`).
+4. A parent and its caches are never out together; of voters one at a time, the leader last.
+5. None is called empty while a front may send to it or has something open there: its drain is in force,
+   every report is of that number or a later one and shows nothing open, and who gave none has lapsed.
+6. The next begins when service is as before, and the last is warm where one is allowed.
+7. Below the floor of service what is not empty yet is used again, and its wish begins nothing more; what is
+   empty or later goes on, since work may be under way.
+8. Out and back are facts of the list: off it, not ready or started anew, then ready again after a new
+   start. A list that was read anew is no start; where work needs none, operators say `finished`.
+9. Without reports, or before a new leader's wait is over, nothing advances.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from quincepier.maintenance.choice import ranked, targets
+from quincepier.maintenance.room import Room, fresh
+from quincepier.maintenance.section import MaintenanceSection, Wish
+from quincepier.maintenance.service import Standing, standing
+from quincepier.rules.reports import Seen
+from quincepier.rules.version import ORDERS_MOST, Allowance, Change, Order, OrderStep, RuleVersion
+
+TELLS_MOST = 32
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    change: Change | None
+    tells: tuple[str, ...]  # what waits for what, for the log; told when it changes
+
+
+def advance(version: RuleVersion, wishes: MaintenanceSection, seen: Seen) -> Change | None:
+    """The next change of the orders. The same input gives the same change; it is safe to lose it."""
+    return plan(version, wishes, seen).change
+
+
+def plan(version: RuleVersion, wishes: MaintenanceSection, seen: Seen) -> Plan:
+    if not seen.machines or not seen.reports or not seen.in_force:
+        if not wishes.wishes and not any(order.open for order in version.orders):
+            return Plan(None, ())
+        lacks = "the list of machines" if not seen.machines else "reports of fronts that hold a lease"
+        return Plan(None, (f"nothing advances without {lacks}",))
+    return _Turn(version, wishes, seen).plan()
+
+
+class _Turn:
+    def __init__(self, version: RuleVersion, wishes: MaintenanceSection, seen: Seen) -> None:
+        self.version, self.wishes, self.seen = version, wishes, seen
+        self.orders = list(version.orders)
+        self.room = Room(version, self.orders, wishes.allowed, seen)
+        self.service: Standing = standing(wishes, seen)
+        self.told = seen.in_force if seen.told is None else seen.told
+        self.did, self.tells = list[str](), list[str]()
+
+    def plan(self) -> Plan:
+        for at in range(len(self.orders)):
+            if self.orders[at].open:
+                self.step(at, self.orders[at])
+        for wish in self.wishes.wishes:
+            self.announce(wish)
+        allowances = tuple(
+            Allowance(kind, most.zone, most.all)  # type: ignore[arg-type]
+            for kind in ("cache", "parent", "front")
+            if (most := self.wishes.allowed.of(kind))
+        )
+        changed = tuple(self.orders) != self.version.orders
+        if not changed:
+            return Plan(None, tuple(self.tells[:TELLS_MOST]))
+        orders = self.orders
+        if len(orders) > ORDERS_MOST // 2:  # those of wishes that stand in the file no more
+            orders = [o for o in orders if o.open or self.wishes.wish(o.wish) is not None]
+        new = allowances if allowances != self.version.allowances else None
+        change = Change("; ".join(self.did)[:2000], orders=tuple(orders), allowances=new)
+        return Plan(change, tuple(self.tells[:TELLS_MOST]))
+
+    def to(self, at: int, step: OrderStep, why: str) -> None:
+        order = self.orders[at]
+        self.orders[at] = msgspec.structs.replace(order, step=step, why=why[:200])
+        self.did.append(f"{order.target} {step.name.lower()}: {why}")
+
+    def wait(self, order: Order, why: str) -> None:
+        self.tells.append(f"{order.target} stays {order.step.name.lower()}: {why}")
+
+    def step(self, at: int, order: Order) -> None:
+        wish, seen = self.wishes.wish(order.wish), self.seen
+        if order.step in (OrderStep.WAITING, OrderStep.DRAINING):
+            # taking back is safe at any time, and needs nothing of others
+            if wish is None or wish.stop:
+                why = "operators stopped it" if wish else "its wish is not in the file of who leads"
+                return self.to(at, OrderStep.STOPPED, why)
+            if self.service.fallen:
+                return self.to(at, OrderStep.STOPPED, self.service.fallen)
+        if seen.in_force < order.since:
+            return self.wait(order, f"number {order.since} is not in force everywhere")
+        if order.step is OrderStep.WAITING:
+            self.drain(at, order, wish)
+        elif order.step is OrderStep.DRAINING:
+            self.empty(at, order, wish)
+        elif order.kind == "front":
+            self.front(at, order, wish)
+        else:
+            self.machine(at, order, wish)
+
+    def drain(self, at: int, order: Order, wish: Wish | None) -> None:
+        why = self.unready() or self.room.hindrance(order.target, order.kind, order.zone, waiting=False)
+        if wish is not None and wish.pause:
+            why = "paused"
+        elif self.told < order.since:
+            why = "a front that fell silent was not told of it"
+        elif order.kind != "front" and order.target not in self.seen.machines:
+            why = "it is not listed"
+        if why:
+            return self.wait(order, why)
+        self.to(at, OrderStep.DRAINING, order.why)
+
+    def empty(self, at: int, order: Order, wish: Wish | None) -> None:
+        seen = self.seen
+        if wish is not None and wish.pause:
+            return self.wait(order, "paused")
+        if not seen.lapsed:
+            return self.wait(order, "a front without a lease may have something open")
+        if over := self.room.over(order.kind, order.zone):
+            return self.wait(order, over)
+        for name, report in sorted(seen.reports.items()):
+            if report.number < order.since:
+                return self.wait(order, f"{name} reported by number {report.number}")
+            if order.kind != "front" and any(host == order.target and n for host, n in report.open_at):
+                return self.wait(order, f"{name} has something open there")
+            if order.kind == "front" and report.front == order.target:
+                if name != order.target:
+                    return self.wait(order, "an earlier start of it may have something open")
+                if any(n for _, n in report.open_at) or any(n for _, _, n in report.open_keyed):
+                    return self.wait(order, "it has something open")
+        machine = seen.machines.get(order.target)
+        if machine is not None and machine.ready and fresh(machine):
+            return self.wait(order, "it started by itself; another start could not be told from this one")
+        self.to(at, OrderStep.EMPTY, "nothing is open there and no front may send to it")
+
+    def machine(self, at: int, order: Order, wish: Wish | None) -> None:
+        """From empty on, by what the list says."""
+        there = self.seen.machines.get(order.target)
+        ready = there is not None and there.ready
+        anew = there is not None and ready and fresh(there)
+        finished = wish is not None and order.target in wish.finished
+        new = wish.replaced.get(order.target, "") if wish is not None else ""
+        if new and not ready and order.step < OrderStep.WARMING:
+            return self.replace(at, order, new)
+        match order.step:
+            case OrderStep.EMPTY if not ready or anew:
+                gone = "off the list" if there is None else "started anew" if ready else "not ready"
+                self.to(at, OrderStep.OUT, gone)
+            case OrderStep.EMPTY if finished:
+                self.to(at, OrderStep.BACK, "operators say that work is over")
+            case OrderStep.EMPTY:
+                self.wait(order, "work may begin")
+            case OrderStep.OUT if ready and (anew or finished):
+                why = "ready after a new start" if anew else "operators say that work is over"
+                self.to(at, OrderStep.BACK, why)
+            case OrderStep.OUT if ready:
+                self.wait(order, "listed again without a new start; say finished where work needs none")
+            case OrderStep.OUT:
+                self.wait(order, "away; say replaced where it came back under another id")
+            case OrderStep.BACK if not ready:
+                self.to(at, OrderStep.OUT, "away again")
+            case OrderStep.BACK:
+                self.to(at, OrderStep.WARMING, "used within its cold budget")
+            case OrderStep.WARMING if there is not None and ready and there.up_ms >= there.warm_ms:
+                self.to(at, OrderStep.IN, "warm")
+            case _:
+                self.wait(order, "not warm yet" if ready else "broke while it warmed")
+
+    def replace(self, at: int, order: Order, new: str) -> None:
+        there = self.seen.machines.get(new)
+        if there is None or not there.ready or (there.kind, there.zone) != (order.kind, order.zone):
+            return self.wait(order, f"{new} is not ready, or of another kind or zone")
+        self.to(at, OrderStep.IN, f"came back as {new}")
+        if self.version.order_of(new) is None:
+            why = f"in place of {order.target}"
+            self.orders.append(Order(order.wish, new, order.kind, order.zone, OrderStep.WARMING, 0, why))
+            self.did.append(f"{new} warming: {why}")
+
+    def front(self, at: int, order: Order, wish: Wish | None) -> None:
+        """From empty on: a front is away while it holds no lease; another start shows as a second line."""
+        reports, name = self.seen.reports, order.target
+        there = name in reports
+        anew = any(report.front == name and line != name for line, report in reports.items())
+        finished = wish is not None and name in wish.finished
+        if order.step is OrderStep.EMPTY and (not there or anew):
+            self.to(at, OrderStep.OUT, "started anew" if there else "it holds no lease")
+        elif order.step is OrderStep.EMPTY and not finished:
+            self.wait(order, "work may begin")
+        elif order.step in (OrderStep.EMPTY, OrderStep.OUT) and there:
+            self.to(at, OrderStep.BACK, "it reports")
+        elif order.step is OrderStep.BACK and there:
+            self.to(at, OrderStep.WARMING, "it serves")
+        elif order.step is OrderStep.WARMING and there and not reports[name].cautious:
+            self.to(at, OrderStep.IN, "it is sure of its version")
+        else:
+            self.wait(order, "it does not report")
+
+    def unready(self) -> str:
+        """Why nothing may begin, whichever it is."""
+        if not self.seen.lapsed:
+            return "a front without a lease may have something open"
+        return self.service.lower
+
+    def announce(self, wish: Wish) -> None:
+        """The next of a wish, as many as may be out: only those are named, so that a front which lost touch
+        keeps from these few and not from all that is ever to be worked on."""
+        mine = [o for o in self.orders if o.wish == wish.id]
+        stopped = next((o for o in mine if o.step is OrderStep.STOPPED), None)
+        meant = targets(wish, self.seen)
+        done = {o.target for o in mine} | set(wish.replaced.values())
+        left = [target for target in meant if target not in done]
+        if not left:
+            return
+        why = "stopped" if wish.stop else "paused" if wish.pause else self.unready()
+        if stopped is not None:
+            why = f"{stopped.target} was stopped ({stopped.why}); wish it anew under another id"
+        if len(self.orders) >= ORDERS_MOST:
+            why = "too many orders are kept; take old wishes out of the file"
+        if why:
+            self.tells.append(f"wish {wish.id} begins nothing: {why}")
+            return
+        for target in left:
+            if not meant[target][0]:
+                self.tells.append(f"wish {wish.id} waits for {target}: it is not known")
+        for choice in ranked(wish, self.room):
+            if choice.target in done or len(self.orders) >= ORDERS_MOST:
+                continue
+            why = self.barred(choice.target, left) or self.room.hindrance(
+                choice.target, choice.kind, choice.zone, waiting=True
+            )
+            if why:
+                self.tells.append(f"wish {wish.id} waits for {choice.target}: {why}")
+                continue
+            order = Order(wish.id, choice.target, choice.kind, choice.zone, OrderStep.WAITING, 0, choice.why)  # type: ignore[arg-type]
+            self.orders.append(order)
+            self.did.append(f"{choice.target} waiting: {choice.why}")
+
+    def barred(self, target: str, left: list[str]) -> str:
+        other = next((o for o in self.orders if o.target == target and o.open), None)
+        if other is not None:
+            return f"it has an order of wish {other.wish}"
+        machine = self.seen.machines.get(target)
+        if machine is not None and machine.ready and fresh(machine):
+            return "it started a moment ago"
+        if target == self.seen.leader and (len(left) > 1 or any(o.open for o in self.orders)):
+            return "it leads, and goes last"
+        return ""
--- a/quincepier/rules/ledger.py
+++ b/quincepier/rules/ledger.py
@@ -35,7 +35,8 @@
     if earlier is None:
         return last
     open_at = dict(earlier.open_at)
-    open_at.update(last.open_at)
+    for host, count in last.open_at:
+        open_at[host] = max(count, open_at.get(host, 0))
     keyed = {(tenant, shard): count for tenant, shard, count in (*earlier.open_keyed, *last.open_keyed)}
     return msgspec.structs.replace(
         last,
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,335 @@
+"""Out for work: the steps of an order, what holds each of them up, what comes next, and whole small cases."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from quincepier.maintenance import (
+    Allowed,
+    MaintenanceSection,
+    Most,
+    Wish,
+    advance,
+    leaving,
+    named,
+    plan,
+    ranked,
+)
+from quincepier.maintenance.room import Room
+from quincepier.operator import OperatorError, load, read
+from quincepier.rules import (
+    FrontReport,
+    MachineSeen,
+    Order,
+    OrderStep,
+    RuleVersion,
+    Seen,
+    Service,
+    Shard,
+    apply,
+)
+
+WARM = 60_000
+
+
+def cache(
+    host: str, zone: str = "a", up: int = 10 * WARM, ready: bool = True, kind: str = "cache"
+) -> MachineSeen:
+    return MachineSeen(host, kind, zone, ready, up, WARM)
+
+
+def report(name: str, number: int, **more: object) -> FrontReport:
+    said = FrontReport(name, 1, number, "", False, 1000)
+    return msgspec.structs.replace(said, **more)
+
+
+class Fleet:
+    """Three fronts that adopt at once whatever is agreed, unless a story says otherwise."""
+
+    def __init__(self, *wishes: Wish, machines: tuple[MachineSeen, ...] = (), **more: object) -> None:
+        self.wishes = MaintenanceSection(wishes, **more)  # type: ignore[arg-type]
+        self.version = RuleVersion(1, 1)
+        self.machines = {m.host: m for m in machines or tuple(cache(f"c{n}") for n in range(4))}
+        self.more = dict[str, object]()
+        self.reports = dict[str, FrontReport]()
+        self.names = ("f0", "f1", "f2")
+
+    def seen(self) -> Seen:
+        number = self.version.number
+        reports = {n: self.reports.get(n) or report(n, number) for n in self.names}
+        seen = Seen(0, self.names, reports, True, number, 0, self.machines, self.names, "f0")
+        return replace(seen, **self.more)  # type: ignore[arg-type]
+
+    def turn(self) -> tuple[str, ...]:
+        found = plan(self.version, self.wishes, self.seen())
+        if found.change is not None:
+            self.version = apply(self.version, 1, (found.change,))
+        return found.tells
+
+    def turns(self, most: int = 50) -> None:
+        for _ in range(most):
+            before = self.version.number
+            self.turn()
+            if self.version.number == before:
+                return
+        raise AssertionError("it never rests")
+
+    def at(self, target: str, step: OrderStep) -> bool:
+        order = self.version.order_of(target)
+        return order is not None and order.step is step
+
+    def until(self, target: str, step: OrderStep) -> None:
+        for _ in range(9):
+            if self.at(target, step):
+                return
+            self.turn()
+        raise AssertionError(f"{target} never came to {step}: {self.version.orders}")
+
+    def set(self, host: str, **more: object) -> None:
+        self.machines[host] = replace(self.machines[host], **more)  # type: ignore[arg-type]
+
+
+def test_an_order_from_wish_to_done_and_then_the_next() -> None:
+    machines = (cache("c0"), cache("c1"), cache("d0", "b"))
+    fleet = Fleet(Wish("disks", kind="cache", zone="a"), machines=machines)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.EMPTY) and fleet.version.order_of("c1") is None
+    fleet.set("c0", ready=False)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.OUT)
+    fleet.set("c0", ready=True, up_ms=10)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.WARMING) and fleet.version.order_of("c1") is None
+    fleet.set("c0", up_ms=WARM)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.IN) and fleet.at("c1", OrderStep.EMPTY)
+    del fleet.machines["c1"]
+    fleet.turns()
+    fleet.machines["c1"] = cache("c1", up=10)
+    fleet.turns()
+    fleet.set("c1", up_ms=WARM)
+    fleet.turns()
+    assert [o.step for o in fleet.version.orders] == [OrderStep.IN, OrderStep.IN]
+    assert fleet.turn() == ()
+
+
+def test_none_is_empty_while_a_front_may_send_to_it() -> None:
+    fleet = Fleet(Wish("w", ("c0",)))
+    fleet.until("c0", OrderStep.DRAINING)
+    number = fleet.version.number
+    holds: tuple[dict[str, object], ...] = (
+        {"in_force": number - 1},
+        {"lapsed": False},
+        {"reports": {"f0": report("f0", number), "f1": report("f1", number, open_at=(("c0", 1),))}},
+        {"reports": {"f0": report("f0", number), "f1@7": report("f1", number - 1)}},
+        {"reports": {}},
+    )
+    for held in holds:
+        fleet.more = held
+        assert fleet.turn() and fleet.at("c0", OrderStep.DRAINING), held
+    fleet.more = {"reports": {"f1": report("f1", number, open_at=(("c1", 1),))}}
+    fleet.turn()
+    assert fleet.at("c0", OrderStep.EMPTY)
+
+
+def test_it_drains_only_once_every_front_was_told_with_a_lease_or_without() -> None:
+    fleet = Fleet(Wish("w", ("c0",)))
+    fleet.until("c0", OrderStep.WAITING)
+    fleet.more = {"told": fleet.version.number - 1}
+    assert "not told" in fleet.turn()[0] and fleet.at("c0", OrderStep.WAITING)
+    assert leaving(fleet.version, False, "f0") == frozenset()
+    assert leaving(fleet.version, True, "f0") == {"c0"}
+    fleet.more = {"told": fleet.version.number}
+    fleet.turn()
+    assert leaving(fleet.version, False, "f0") == {"c0"}
+    wished = named(fleet.wishes)
+    assert leaving(RuleVersion(0, 0), True, "f0", wished) == {"c0"}  # a front that never had a version
+    assert leaving(RuleVersion(3, 1), True, "f0", wished) == frozenset()
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [cache("c3", ready=False), cache("c3", up=WARM - 1)],
+)
+def test_one_that_broke_by_itself_counts_as_out(broken: MachineSeen) -> None:
+    fleet = Fleet(Wish("w", ("c0",)))
+    fleet.machines["c3"] = broken
+    assert "c0, c3" in fleet.turn()[0] and not fleet.version.orders
+    fleet.machines["c3"] = cache("c3")
+    fleet.reports = {name: report(name, 1, aside=("c3",)) for name in ("f0", "f1")}
+    fleet.turn()
+    assert not fleet.version.orders
+    del fleet.reports["f0"]
+    fleet.turn()
+    assert fleet.at("c0", OrderStep.WAITING)
+
+
+def test_one_that_breaks_during_a_drain_holds_up_empty() -> None:
+    fleet = Fleet(Wish("w", ("c0",)))
+    fleet.until("c0", OrderStep.DRAINING)
+    fleet.set("c1", ready=False)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.DRAINING)
+
+
+def test_most_of_a_zone_and_over_all_and_least_in_service() -> None:
+    machines = tuple(cache(f"{zone}{n}", zone) for zone in "abc" for n in range(3))
+    fleet = Fleet(Wish("w", kind="cache"), machines=machines, allowed=Allowed(Most(1, 2)))
+    fleet.turns()
+    assert {o.target for o in fleet.version.orders} == {"a0", "b0"}
+    fleet = Fleet(Wish("w", kind="cache"), machines=machines, allowed=Allowed(Most(2, 9, least=2)))
+    fleet.turns()
+    assert {o.target for o in fleet.version.orders} == {"a0", "b0", "c0"}
+
+
+def test_a_parent_and_its_caches_are_never_out_together() -> None:
+    machines = (cache("c0"), cache("d0", "b"), cache("p0", "a", kind="parent"), cache("e0", "c"))
+    wishes = Wish("w", ("p0",)), Wish("v", ("c0", "d0", "e0"))
+    fleet = Fleet(*wishes, machines=machines, allowed=Allowed(Most(2, 9)))
+    fleet.version = RuleVersion(1, 1, shards=(Shard("s", ("d0",), ("p0",)),))
+    fleet.turns()
+    assert {o.target for o in fleet.version.orders} == {"p0", "e0"}
+
+
+def test_what_costs_least_goes_first_and_says_why() -> None:
+    machines = (cache("a0"), cache("a1"), cache("b0", "b"), cache("b1", "b"), cache("c0", "c", ready=False))
+    fleet = Fleet(Wish("w", kind="cache"), machines=machines)
+    fleet.reports = {"f0": report("f0", 1, sent=(("a0", 50), ("a1", 40), ("b0", 9), ("b1", 30)))}
+    seen = fleet.seen()
+    room = Room(fleet.version, [], fleet.wishes.allowed, seen)
+    found = ranked(fleet.wishes.wishes[0], room)
+    assert [c.target for c in found] == ["c0", "b0", "b1", "a1", "a0"]
+    assert found[0].why == "set aside already" and "zone b of least load, 39.0/s," in found[1].why
+    room.orders.append(Order("w", "a0", "cache", "a", OrderStep.IN, 1))
+    assert ranked(fleet.wishes.wishes[0], room)[1].target == "a1"  # the zone that was begun comes before
+
+
+def served(number: int, part: float) -> dict[str, FrontReport]:
+    row = Service("", "", asked=500, worth=500.0, in_time=500.0 * part)
+    return {f"f{n}": report(f"f{n}", number, service=(row,)) for n in range(3)}
+
+
+def test_service_that_falls_stops_an_order_and_its_wish_but_not_what_is_empty() -> None:
+    fleet = Fleet(Wish("w", ("c0", "c1", "c2")), allowed=Allowed(Most(2, 2)))
+    fleet.more = {"usual": {"": 0.9}}
+    fleet.reports = served(1, 0.87)  # under 0.98 of 0.9
+    assert "usually" in fleet.turn()[0] and not fleet.version.orders
+    fleet.more = {}
+    assert "not known" in fleet.turn()[0] and not fleet.version.orders
+    fleet.more, fleet.reports = {"usual": {"": 0.9}}, {}
+    fleet.until("c0", OrderStep.DRAINING)
+    first, second = fleet.version.orders
+    first = msgspec.structs.replace(first, step=OrderStep.EMPTY)
+    fleet.version = msgspec.structs.replace(fleet.version, orders=(first, second))
+    fleet.reports = served(fleet.version.number, 0.7)
+    fleet.turn()
+    assert fleet.at("c0", OrderStep.EMPTY) and fleet.at("c1", OrderStep.STOPPED)
+    assert "0.700, usually 0.900" in fleet.version.orders[1].why
+    fleet.reports = {}
+    assert "under another id" in fleet.turn()[-1] and fleet.version.order_of("c2") is None
+
+
+def test_pause_stop_and_a_wish_that_went_from_the_file() -> None:
+    fleet = Fleet(Wish("w", ("c0",)))
+    fleet.until("c0", OrderStep.DRAINING)
+    going = fleet.version
+    fleet.wishes = MaintenanceSection((Wish("w", ("c0",), pause=True),))
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.DRAINING)
+    for after in ((Wish("w", ("c0",), stop=True),), ()):
+        fleet.version, fleet.wishes = going, MaintenanceSection(after)
+        fleet.turns()
+        assert fleet.at("c0", OrderStep.STOPPED) and not leaving(fleet.version, True, "f0")
+    fleet.version, fleet.wishes = going, MaintenanceSection((Wish("w", ("c0",)),))
+    fleet.until("c0", OrderStep.EMPTY)
+    fleet.wishes = MaintenanceSection((Wish("w", ("c0",), stop=True),))
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.EMPTY)  # somebody may be at work there
+    fleet.wishes = MaintenanceSection((Wish("w", ("c0",), stop=True, finished=("c0",)),))
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.IN)
+
+
+def test_a_list_read_anew_is_no_start_and_a_start_before_empty_is_not_the_work() -> None:
+    fleet = Fleet(Wish("w", ("c0",)))
+    fleet.until("c0", OrderStep.DRAINING)
+    fleet.set("c0", up_ms=20)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.DRAINING)
+    fleet.set("c0", up_ms=WARM)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.EMPTY)
+    line = fleet.machines.pop("c0")
+    fleet.turns()
+    fleet.machines["c0"] = line
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.OUT) and "finished" in fleet.turn()[0]
+
+
+def test_it_comes_back_under_another_id_or_is_not_known_at_all() -> None:
+    fleet = Fleet(Wish("w", ("c0", "x9")))
+    assert any("x9: it is not known" in told for told in fleet.turn())
+    fleet.until("c0", OrderStep.EMPTY)
+    del fleet.machines["c0"]
+    fleet.machines["n0"] = cache("n0", up=5)
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.OUT) and "replaced" in fleet.turn()[0]
+    fleet.wishes = MaintenanceSection((Wish("w", ("c0", "x9"), replaced={"c0": "n0"}),))
+    fleet.turns()
+    assert fleet.at("c0", OrderStep.IN) and fleet.at("n0", OrderStep.WARMING)
+    fleet.set("n0", up_ms=WARM)
+    fleet.turns()
+    assert fleet.at("n0", OrderStep.IN)
+
+
+def test_fronts_go_one_voter_at_a_time_and_the_leader_last() -> None:
+    fleet = Fleet(Wish("w", fronts=("f0", "f1", "f2")), allowed=Allowed(front=Most(3, 3)))
+    fleet.turns()
+    assert {o.target for o in fleet.version.orders} == {"f1"} and fleet.at("f1", OrderStep.EMPTY)
+    assert leaving(fleet.version, False, "f1") == {"f1"} and leaving(fleet.version, True, "f2") == frozenset()
+    fleet.more = {"reports": {n: report(n, fleet.version.number) for n in ("f0", "f2")}}
+    fleet.turns()
+    assert fleet.at("f1", OrderStep.OUT) and fleet.version.order_of("f2") is None
+    fleet.more = {}
+    fleet.turns()
+    assert fleet.at("f1", OrderStep.IN) and fleet.at("f2", OrderStep.EMPTY)
+    assert fleet.version.order_of("f0") is None
+
+
+def test_nothing_begins_under_a_new_leader_or_without_a_list() -> None:
+    lacking: tuple[dict[str, object], ...] = (
+        {"in_force": 0},
+        {"reports": {}},
+        {"machines": {}},
+        {"lapsed": False},
+    )
+    for lacks in lacking:
+        fleet = Fleet(Wish("w", ("c0",)))
+        fleet.more = lacks
+        assert fleet.turn() and not fleet.version.orders
+    assert advance(fleet.version, MaintenanceSection(), fleet.seen()) is None
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("wishes: [{id: a}]", "names no machines"),
+        ("wishes: [{id: a, machines: [x], kind: cache}]", "machines or fronts besides"),
+        ("wishes: [{id: a, machines: [x]}, {id: a, machines: [y]}]", "two wishes have this id"),
+        ("wishes: [{id: a, machines: [x], zone: b}]", "zone without a kind"),
+        ("{floor: 0.99}", "floor is above"),
+        ("allowed: {cache: {zone: -1}}", "allowed.cache.zone"),
+    ],
+)
+def test_wishes_that_make_no_sense_are_refused_with_line_and_key(text: str, why: str) -> None:
+    with pytest.raises(OperatorError, match=why):
+        read(f"maintenance: {text if text[0] == '{' else '{' + text + '}'}", "f")
+
+
+def test_the_example_is_a_section() -> None:
+    found = load(str(Path(__file__).parent.parent / "deploy" / "operator.yaml")).get(MaintenanceSection)
+    assert found is not None and found.wishes[0].pause
