--- a/quincepier/maintenance/leaving.py
+++ b/quincepier/maintenance/leaving.py
@@ -13,7 +13,7 @@
 
     A front without a lease cannot know how far an order went on without it. It keeps from every machine with
     an open order, waiting ones too: each order is first told to all as waiting, for this alone. One that
-    never had a version keeps from what its own file names (`named`).
+    started and had no answer yet (`Holder.blank`) is given what its own file names, as `wished`.
     """
     found = {
         order.target
@@ -21,7 +21,7 @@
         if order.aside and (order.kind != "front" or order.target == me)
         or cautious and order.open and order.kind != "front"
     }
-    return frozenset(found | wished) if cautious and version.number == 0 else frozenset(found)
+    return frozenset(found | wished) if cautious else frozenset(found)
 
 
 def named(section: MaintenanceSection | None) -> frozenset[str]:
--- a/quincepier/rules/leases.py
+++ b/quincepier/rules/leases.py
@@ -98,7 +98,7 @@
     It starts without a lease, whatever an earlier start of it held.
     """
 
-    __slots__ = ("pace", "start", "version", "until", "token", "asked", "next", "doubted")
+    __slots__ = ("pace", "start", "version", "until", "token", "asked", "next", "doubted", "answered")
 
     def __init__(self, start: int, now: int, pace: Pace, version: RuleVersion | None = None) -> None:
         self.pace, self.start = pace, start
@@ -106,6 +106,7 @@
         self.until = now  # its own clock; a lease ends as this is reached
         self.token, self.asked = 0, dict[int, int]()  # when each open ask was made
         self.next = now  # when to ask again
+        self.answered = False  # whether this start ever had the version that an answer named
         self.doubted = -1  # the number by which it was found to decide otherwise than most
 
     def cautious(self, now: int) -> bool:
@@ -113,8 +114,9 @@
         return now >= self.until or self.doubted == self.version.number
 
     def blank(self) -> bool:
-        """Whether it never had a version: it knows of no order and waits a little."""
-        return self.version.number == 0
+        """Whether it started and does not know yet what was agreed: what it kept, or heard by the way, may be
+        older than what its earlier start was told. It waits a little for an answer before it serves."""
+        return not self.answered
 
     def ask(self, now: int) -> int:
         """The token of a new ask. `now` is read before the ask is handed to the transport."""
@@ -145,7 +147,9 @@
         asked = self.asked.pop(grant.token, None)
         for token in [t for t in self.asked if t < grant.token]:
             del self.asked[token]
-        if asked is not None and grant.lease_ms and grant.number <= self.version.number:
+        current = asked is not None and grant.number <= self.version.number
+        self.answered = self.answered or current
+        if asked is not None and current and grant.lease_ms:
             self.until = max(self.until, asked + min(grant.lease_ms * MS, self.pace.lease))
         if adopted:
             self.next = now
--- a/quincepier/rules/ledger.py
+++ b/quincepier/rules/ledger.py
@@ -65,8 +65,11 @@
             self.newest, self.digest = version.number, version.digest
 
     def heard(self, now: int, ask: Ask, sure_until: int) -> Grant | None:
-        """The answer to an ask; None to one that is late or repeated. `now` is read after the ask came in."""
+        """The answer to an ask; None to one that is late or repeated, and where another may lead by now: then
+        nobody is told what is newest either. `now` is read after the ask came in."""
         pace, report = self.pace, ask.report
+        if now >= sure_until:
+            return None
         known = self.fronts.get(report.front)
         if known is None:
             if len(self.fronts) >= FRONTS_MOST:
@@ -90,7 +93,7 @@
         known.report, known.token = report, ask.token
         known.number = report.number if same else max(report.number - 1, 0)
         lease = 0
-        if same and report.number >= self.newest and now < sure_until:
+        if same and report.number >= self.newest:
             lease = pace.lease // MS
             known.until = max(known.until, now + pace.longer(lease * MS))
         known.ended = max(known.ended, known.until + pace.longer(pace.attempt))
