--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -17,6 +17,7 @@
     "clients": "quincepier.clients.section:ClientsSection",
     "state": "quincepier.state.section:StateSection",
     "members": "quincepier.membership.section:MembersSection",
+    "maintenance": "quincepier.maintenance.section:MaintenanceSection",
 }
 
 
