--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -50,6 +50,7 @@
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.actors: dict[int, CacheActor] = {}
         self.dialer: Dialer | None = None  # where the operators' file has several addresses a machine
+        self.stale: Callable[[], bool] | None = None  # whether what was decided before may not hold any more
         self.pool.on_free = self.freed
 
     @property
@@ -240,7 +241,9 @@
                 self.wake = loop.create_future()
                 await self.wake
             what, command = self.outgoing.popleft()
-            if isinstance(what, OpenAttempt) and what.recalled:  # looked at right before its first byte
+            stale = self.shared.stale
+            if isinstance(what, OpenAttempt) and (what.recalled or (stale is not None and stale())):
+                # looked at right before its first byte: a front that stood still may have lost its lease
                 self.open.pop(what.request.job, None)
                 self.actor.ended(what, Ending.MOOT, clock.now())
                 continue
--- /dev/null
+++ b/quincepier/net/fleet/overlay.py
@@ -0,0 +1,43 @@
+"""What the module is told of the list: as the change log tells it, but machines under orders drain. Pure.
+
+Rule: a machine under an order is READY to the module never, whatever the log says of it meanwhile, and is as
+the log says once the order has ended. The failure guarded against: a restarted machine is listed as ready
+before the fleet has called it back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+
+from quincepier.interface import CacheState, ListNews, ListScope, Machine
+
+
+class Overlay:
+    """`hosts`: host ids by the module's numbers, as the directory keeps them."""
+
+    def __init__(self, hosts: Mapping[int, str]) -> None:
+        self.hosts = hosts
+        self.leaving: frozenset[str] = frozenset()
+
+    def _told(self, machine: Machine) -> Machine:
+        under = machine.state is CacheState.READY and self.hosts.get(machine.cache, "") in self.leaving
+        return replace(machine, state=CacheState.DRAINING) if under else machine
+
+    def over(self, news: ListNews) -> ListNews:
+        """News of the list on its way to the module."""
+        if not self.leaving:
+            return news
+        return ListNews(news.scope, tuple(map(self._told, news.machines)))
+
+    def change(self, leaving: frozenset[str], listed: Iterable[Machine]) -> ListNews | None:
+        """Other machines are under orders from now on: what the module is to hear at once, None for nothing.
+
+        `listed` are all machines as the log told them last; those given back are told so.
+        """
+        differ = self.leaving ^ leaving
+        self.leaving = leaving
+        if not differ:
+            return None
+        touched = tuple(self._told(m) for m in listed if self.hosts.get(m.cache, "") in differ)
+        return ListNews(ListScope.CHANGES, touched) if touched else None
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -44,8 +44,9 @@
 from quincepier.wire.changelog import BadRecord, ChangeEvent, FleetChange, PurgeRecord
 from quincepier.wire.errors import ProtocolError
 
-if TYPE_CHECKING:  # imported only where machines have several addresses
+if TYPE_CHECKING:  # imported only where machines have several addresses, or the fleet settles things
     from quincepier.addresses.section import AddressesSection
+    from quincepier.net.settled import Settled
 
 MAILBOX_MOST = 1024
 TURNS = 32  # messages handled before others get the loop
@@ -76,6 +77,7 @@
         self.later: deque[io.Event] = deque()
         self.router = Router(config.settings, config.seed, clock.now())
         self.standing = False
+        self.settled: Settled | None = None  # what the fleet settles, where the operators' file has it
 
     def begin(self) -> None:
         """Tell the events known at the start; the list stands then."""
@@ -143,6 +145,8 @@
 
     def _tell(self, event: io.Event, request: OpenRequest | None = None) -> None:
         now, actions = clock.now(), list[io.Action]()
+        if self.settled is not None:
+            self.settled.before(now)
         try:
             actions = self.router.handle(now, event)
         except Exception as error:  # whatever fails in the decisions ends that request alone
@@ -173,12 +177,17 @@
             request.owner.push(Answer(request, 409))
             return
         self.requests.add(request)
-        self._tell(request_came(request, clock.now()), request)
+        event = request_came(request, clock.now())
+        if self.settled is not None:
+            self.settled.came(event, request)
+        self._tell(event, request)
 
     def _ended(self, end: Ended) -> None:
         attempt = end.attempt
         request = attempt.request
         event = attempt_ended(attempt, end)
+        if self.settled is not None:
+            self.settled.ended(attempt, end.note)
         if end.ending is Ending.OK and not request.over:
             self._answer(Answer(request, 200, end.body, end.still))
         elif end.body is not None:
@@ -187,6 +196,8 @@
         self._tell(event, request)
 
     def _news(self, event: ChangeEvent, scope: ListScope) -> None:
+        if self.settled is not None:
+            self.settled.heard(event.seq)
         if isinstance(event, PurgeRecord):
             self._tell(purged(event))
             self._recall(event)
@@ -202,12 +213,16 @@
                 for fault in host.faults:
                     self.checks.event("bad address of a machine", f"{host.host}: {fault}")
             self.standing = self.standing or event.whole
-            self._recall_from(news)
-            self._tell(news)
+            self.told_of_list(news if self.settled is None else self.settled.listed(news))
             self._follow_list()
         elif isinstance(event, BadRecord):
             self.checks.event("bad record of the change log", event.why)
 
+    def told_of_list(self, news: io.ListNews) -> None:
+        """News of the list, as the module is to have it."""
+        self._recall_from(news)
+        self._tell(news)
+
     def _recall(self, purge: PurgeRecord) -> None:
         """What was decided before this purge and is not written yet goes back to the module."""
         for request in list(self.requests.open.values()):
@@ -282,7 +297,8 @@
                 if machine in self.caches:
                     self.caches[machine].mailbox.push(Check(self.config.report_on_probe))
             case io.Follow():
-                self.later.append(self.directory.whole())
+                whole = self.directory.whole()
+                self.later.append(whole if self.settled is None else self.settled.listed(whole))
             case io.Log(text):
                 logger.bind(event="module", detail=(named := self._named(text))).info("module: {}", named)
 
@@ -308,6 +324,8 @@
             attempt.ended = True
             self.mailbox.push(Ended(attempt, Ending.MOOT, now))
             return
+        if self.settled is not None:
+            self.settled.sent(attempt, now)
         fields = serve_fields(action, request, self.directory, timeout)
         command = lines.serve(request.job, fields, request.body)
         cache.mailbox.push(Send(attempt, command, timeout))
@@ -315,6 +333,8 @@
     def _answer(self, answer: Answer) -> None:
         request = answer.request
         if self.checks.must(not request.over, "one final answer a request"):
+            if self.settled is not None:
+                self.settled.answered(request, answer.status)
             self.requests.finish(request)
             request.owner.push(answer)
         elif answer.body is not None:
--- /dev/null
+++ b/quincepier/net/settled.py
@@ -0,0 +1,31 @@
+"""What the module's actor asks and tells of what the fleet settles; `net/fleet/` is that, where it is on."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from quincepier.interface import ListNews, Note, RequestCame
+from quincepier.memory.requests import OpenAttempt, OpenRequest
+
+
+class Settled(Protocol):
+    """All of it runs inside a turn of the module's actor and takes no longer than a few looks into maps."""
+
+    def before(self, now: int) -> None:
+        """Before each event that the module hears: who has no lease any more decides by the cautious set."""
+
+    def listed(self, news: ListNews) -> ListNews:
+        """News of the list as the module is to hear them."""
+
+    def heard(self, seq: int) -> None:
+        """The change log is heard up to that number."""
+
+    def came(self, event: RequestCame, request: OpenRequest) -> None:
+        """A request comes: its tenant is set."""
+
+    def sent(self, attempt: OpenAttempt, now: int) -> None: ...
+
+    def ended(self, attempt: OpenAttempt, note: Note) -> None: ...
+
+    def answered(self, request: OpenRequest, status: int) -> None:
+        """Its one final answer, as an HTTP status."""
--- /dev/null
+++ b/tests/test_fleet_shell.py
@@ -0,0 +1,113 @@
+"""The shell of agreement: list lines under orders, sections, words, without a process."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from quincepier.interface import CacheState, ListNews, ListScope, Machine
+from quincepier.net.fleet import words
+from quincepier.net.fleet.overlay import Overlay
+from quincepier.operator import OperatorError, read
+from quincepier.rules import FrontReport
+
+HOSTS = {n: f"s-{n}" for n in range(1, 5)}
+STATES = st.sampled_from(list(CacheState))
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("order"), st.frozensets(st.sampled_from(list(HOSTS.values())))),
+        st.tuples(st.just("log"), st.tuples(st.sampled_from(list(HOSTS)), STATES)),
+    ),
+    max_size=12,
+)
+
+
+def machine(number: int, state: CacheState) -> Machine:
+    return Machine(number, 0, 1, 0, 1.0, 0, state)
+
+
+class Blind(Overlay):
+    """Mutant: a line of the log lifts an order."""
+
+    def over(self, news: ListNews) -> ListNews:
+        return news
+
+
+class Forgetful(Overlay):
+    """Mutant: what is given back is told to nobody."""
+
+    def change(self, leaving: frozenset[str], listed: Iterable[Machine]) -> ListNews | None:
+        return super().change(self.leaving | leaving, listed)
+
+
+def played(overlay: Overlay, steps: Sequence[tuple[str, Any]]) -> bool:
+    """Whether the module knows each machine as the log says, but for those under orders, after each step."""
+    log = {n: CacheState.READY for n in HOSTS}
+    module = dict(log)
+
+    def told(news: ListNews | None) -> None:
+        for m in news.machines if news is not None else ():
+            module[m.cache] = m.state
+
+    leaving: frozenset[str] = frozenset()
+    for what, about in steps:
+        if what == "order":
+            leaving = about
+            told(overlay.change(leaving, [machine(n, s) for n, s in log.items() if s is not CacheState.GONE]))
+        else:
+            number, state = about
+            log[number] = state
+            told(overlay.over(ListNews(ListScope.CHANGES, (machine(number, state),))))
+        for n, state in log.items():
+            drains = HOSTS[n] in leaving and state is CacheState.READY
+            if module[n] is not (CacheState.DRAINING if drains else state):
+                return False
+    return True
+
+
+@examples(derandomize=True, max_examples=300)
+@given(STEPS)
+def test_machines_under_orders_drain_whatever_the_log_says(steps: list[tuple[str, Any]]) -> None:
+    assert played(Overlay(HOSTS), steps)
+
+
+@pytest.mark.parametrize("wrong", [Blind, Forgetful])
+def test_the_rule_finds_a_wrong_overlay(wrong: type[Overlay]) -> None:
+    story = [("order", frozenset({"s-1"})), ("log", (1, CacheState.READY)), ("order", frozenset[str]())]
+    assert played(Overlay(HOSTS), story) and not played(wrong(HOSTS), story)
+
+
+GOOD = """
+agreement:
+  voters: {a: "127.0.0.1:1", b: "127.0.0.1:2", c: "127.0.0.1:3"}
+  folder: /var/lib/quincepier/{name}/voter
+"""
+
+
+@pytest.mark.parametrize(
+    ("was", "now", "says"),
+    [
+        (', c: "127.0.0.1:3"', "", "names 2 fronts"),
+        ("127.0.0.1:3", "127.0.0.1:1", "one address twice"),
+        ("127.0.0.1:3", "nowhere", "voters.c holds 'nowhere', not host:port"),
+        ("/var", "var", "an absolute path is wanted"),
+        ("voters:", "lease_ms: 400\n  report_ms: 200\n  voters:", "under 3 times report_ms"),
+    ],
+)
+def test_what_is_wrong_with_the_section_is_told(was: str, now: str, says: str) -> None:
+    with pytest.raises(OperatorError, match=says):
+        read(GOOD.replace(was, now), "operator.yaml")
+    assert read(GOOD, "operator.yaml").names == ["agreement"]
+
+
+def test_words_come_back_whole_and_others_are_dropped() -> None:
+    report = words.Report(7, FrontReport("n1", 1, 3, "00", False, 250, open_at=(("s-1", 2),)))
+    for word in (report, words.Grant(7, 2, 3, b"x"), words.Turn(7, 2, "n0"), words.Told(2, b"y")):
+        assert words.decode(words.encode(word)) == word
+    for raw in (b"", b"\xc1", words.encode([9, 1]), words.encode(report)[:-2], bytes(words.WORD_MOST + 1)):
+        assert words.decode(raw) is None
