--- a/quincepier/clock.py
+++ b/quincepier/clock.py
@@ -13,6 +13,11 @@
     return time.monotonic_ns()
 
 
+def boot() -> int:
+    """Nanoseconds of a clock that also runs while the machine sleeps: leases are counted by it."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
 def ago(unix_ms: int) -> int:
     """How long ago a Unix millisecond ended, in nanoseconds, 0 at least.
 
--- /dev/null
+++ b/quincepier/net/fleet/follower.py
@@ -0,0 +1,98 @@
+"""A front as a follower: it reports to whoever leads, finds that one, and holds what it is granted. Pure.
+
+Times in nanoseconds of `clock.boot`, words in, words out.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from quincepier.net.fleet.words import Granted, Report, Told, Turn
+from quincepier.rules import Ask, FrontReport, Holder, Pace, RulesError, RuleVersion, decode
+
+MS = 1_000_000
+UNHEARD_MOST = 2  # reports in a row without an answer; then another voter is asked
+TURNED_REST = 40 * MS  # between a voter's word of where to ask and asking there
+SOON = 20 * MS  # after adopting, until that is reported
+
+
+class Follower:
+    def __init__(
+        self, name: str, voters: tuple[str, ...], start: int, now: int, pace: Pace, seed: int
+    ) -> None:
+        self.name, self.voters, self.start, self.pace = name, voters, start, pace
+        self.random = random.Random(f"{seed} follower")
+        self.holder = Holder(start, now, pace)
+        self.asks = self.random.choice(voters)  # whom it asks
+        self.unheard, self.turned, self.rested = 0, 0, now
+        self.granted_once = False  # a lease was had since the start
+        self.told_leader = ""  # who answered with a grant last
+
+    @property
+    def version(self) -> RuleVersion:
+        return self.holder.version
+
+    @property
+    def wake(self) -> int:
+        return self.holder.next
+
+    def cautious(self, now: int) -> bool:
+        return self.holder.cautious(now)
+
+    def due(self, now: int, report: Callable[[], FrontReport]) -> tuple[str, Report] | None:
+        """Whom to tell what, if it is time. `now` is read before."""
+        if now < self.holder.next:
+            return None
+        if self.unheard >= UNHEARD_MOST:
+            self.turn_to(self._other())
+        self.unheard += 1
+        token = self.holder.ask(now)
+        return self.asks, Report(Ask(token, report()))
+
+    def _other(self) -> str:
+        others = [name for name in self.voters if name != self.asks]
+        return self.random.choice(others) if others else self.asks
+
+    def turn_to(self, voter: str) -> None:
+        if voter != self.asks:
+            self.asks, self.unheard = voter, 0
+
+    def heard(self, now: int, sender: str, word: Granted | Turn | Told) -> bool:
+        """Whether a newer version was adopted. RulesError for a spoilt one, or two of one number."""
+        match word:
+            case Told(_, raw):
+                if sender in self.voters and self.holder.adopt(decode(raw)):
+                    self.soon(now)
+                    return True
+            case Granted(_, grant, raw) if sender in self.voters:
+                version = decode(raw) if raw else None
+                if version is not None and version.number != grant.number:
+                    raise RulesError("a grant comes with another version than it names")
+                adopted = self.holder.granted(now, grant, version)
+                if grant.start == self.start:
+                    self.unheard, self.told_leader = 0, sender
+                    self.turn_to(sender)
+                    self.granted_once = self.granted_once or not self.holder.cautious(now)
+                if adopted:
+                    self.soon(now)
+                return adopted
+            case Turn(_, leader):
+                self._turned(now, sender, leader)
+        return False
+
+    def soon(self, now: int) -> None:
+        """What was adopted is reported at once, so that it comes into force."""
+        self.holder.next = min(self.holder.next, now + SOON)
+
+    def _turned(self, now: int, sender: str, leader: str) -> None:
+        if sender != self.asks:
+            return
+        self.unheard = 0
+        if leader in self.voters and leader != sender:
+            self.turn_to(leader)
+            if now >= self.rested:  # two voters that name each other make no storm
+                self.rested = now + 4 * TURNED_REST
+                self.holder.next = min(self.holder.next, now + TURNED_REST)
+        else:
+            self.turn_to(self._other())
--- /dev/null
+++ b/quincepier/net/fleet/seat.py
@@ -0,0 +1,123 @@
+"""The seat of a voter: its log on disk and its words on the way, around the pure `consensus.Voter`.
+
+A word that rests on a record goes out when that record is on disk, never before. A disk that is full, broken
+or hangs makes this voter silent; the front serves on and follows the other voters.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from quincepier import clock
+from quincepier.checks import Checks
+from quincepier.consensus import Action, Committed, Pace, Role, Send, Store, Voter
+from quincepier.net.fleet.threads import Thread
+from quincepier.state.voterrecords import Record, Saved
+
+HELD_MOST = 4096  # words that wait for the disk; the oldest go, as the voters say them again
+
+
+class VoterDisk(Protocol):
+    """Blocking. Any exception: from then on this voter is silent."""
+
+    def open(self) -> Saved | None: ...
+
+    def write(self, records: Sequence[Record]) -> None:
+        """On disk as it returns."""
+
+
+class Seat:
+    def __init__(
+        self,
+        name: str,
+        voters: tuple[str, ...],
+        disk: VoterDisk,
+        thread: Thread,
+        seed: int,
+        send: Callable[[str, bytes], object],
+        hear: Callable[[Committed | Role], None],
+        checks: Checks,
+        pace: Pace | None = None,
+    ) -> None:
+        self.name, self.voters, self.disk, self.thread, self.seed = name, voters, disk, thread, seed
+        self.send, self.hear, self.checks, self.pace = send, hear, checks, pace or Pace()
+        self.voter: Voter | None = None
+        self.held: deque[Send] = deque(maxlen=HELD_MOST)
+        self.on_disk = 0  # ticket up to which all is written
+        self.fault = ""
+
+    def open(self) -> None:
+        """Read the log; the voter speaks once that is done."""
+        self.thread.do(self.disk.open, self._opened)
+
+    def _opened(self, saved: Saved | None | Exception) -> None:
+        if isinstance(saved, Exception):
+            self._silent(saved)
+            return
+        self.voter = Voter(self.name, self.voters, saved, clock.boot(), self.seed, self.pace)
+        self.tick()
+
+    def _silent(self, error: Exception) -> None:
+        self.voter, self.fault = None, str(error)
+        self.held.clear()
+        line = getattr(error, "line", None)
+        self.checks.event("voter silent", line() if callable(line) else f"{type(error).__name__}: {error}")
+
+    @property
+    def wake(self) -> int:
+        """When `tick` is wanted next, by `clock.boot`."""
+        return self.voter.wake if self.voter is not None else clock.boot() + clock.SECOND
+
+    @property
+    def leads(self) -> bool:
+        """Whether it leads now, by a lease that still runs, and knows all that was agreed before."""
+        voter = self.voter
+        return voter is not None and voter.leads and clock.boot() < voter.lease_until
+
+    @property
+    def leader(self) -> str:
+        return (self.voter.leader or "") if self.voter is not None else ""
+
+    def tick(self) -> None:
+        if self.voter is not None:
+            self._perform(self.voter.tick(clock.boot()))
+
+    def heard(self, sender: str, raw: bytes) -> None:
+        if self.voter is not None:
+            self._perform(self.voter.heard(clock.boot(), sender, raw))
+
+    def propose(self, data: bytes) -> None:
+        """It comes as `Committed`, or is lost."""
+        if self.voter is not None:
+            self._perform(self.voter.propose(clock.boot(), data))
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Store():
+                    self._store(action)
+                case Send():
+                    if action.after <= self.on_disk:
+                        self.send(action.to, action.data)
+                    else:
+                        self.held.append(action)
+                case Committed() | Role():
+                    self.hear(action)
+
+    def _store(self, store: Store) -> None:
+        def stored(outcome: object) -> None:
+            if self.voter is None:
+                return
+            if isinstance(outcome, Exception):
+                self._silent(outcome)
+                return
+            self.on_disk = store.ticket
+            while self.held and self.held[0].after <= store.ticket:
+                word = self.held.popleft()
+                self.send(word.to, word.data)
+            self._perform(self.voter.stored(clock.boot(), store.ticket))
+
+        if not self.thread.do(lambda: self.disk.write(store.records), stored):
+            self._silent(OSError("the disk is behind by too many writes"))
--- a/quincepier/net/fleet/section.py
+++ b/quincepier/net/fleet/section.py
@@ -22,7 +22,7 @@
 
     def __post_init__(self) -> None:
         if not VOTERS_LEAST <= len(self.voters) <= VOTERS_MOST or len(self.voters) % 2 == 0:
-            raise ValueError(f"voters names {len(self.voters)} fronts: 3, 5 or 7 have a majority after a loss")
+            raise ValueError(f"voters names {len(self.voters)} fronts: name 3, 5 or 7")
         for name, address in self.voters.items():
             host, colon, port = address.rpartition(":")
             if not 1 <= len(name) <= 64:
@@ -34,7 +34,7 @@
         if not self.folder.startswith("/"):
             raise ValueError(f"folder is {self.folder[:60]!r}: an absolute path is wanted")
         if self.lease_ms < LEASE_OF_REPORTS * self.report_ms:
-            raise ValueError(f"lease_ms is under {LEASE_OF_REPORTS} times report_ms: a lost report or two end it")
+            raise ValueError(f"lease_ms is under {LEASE_OF_REPORTS} times report_ms: a lost report ends it")
 
     def place(self, name: str) -> str:
         """The folder of the front of that name."""
