--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -53,6 +53,7 @@
         self.changes = ChangesActor(self.module.means)
         self.keeper = operators.keeper(self.module) if operators is not None else None
         self.peers = operators.peers(self.module) if operators is not None else None
+        self.fleet = operators.fleet(self.module, self.peers) if operators is not None else None
         self.term = asyncio.Event()
         self.lag_most = 0
 
@@ -74,6 +75,8 @@
             await self.peers.start()
         self.changes.start()
         await self.changes.up_to_date()
+        if self.fleet is not None:
+            await self.fleet.start()
         listener.start()
         host, port = self.config.listen
         told = logger.bind(event="front serves", front=self.config.name, address=f"{host}:{port}")
@@ -87,6 +90,8 @@
         if self.peers is not None:
             await self.peers.leave()
         await self._drain(listener)
+        if self.fleet is not None:
+            self.fleet.end()
         if self.keeper is not None and keeping is not None:
             keeping.cancel()
             await self.keeper.end()
@@ -116,6 +121,8 @@
         means.config = config
         if self.operators is not None and file is not None:
             changed, left = self.operators.take(file, self.module, self.shop)
+            if self.fleet is not None:
+                self.operators.wishes(self.fleet)
             now, later = now + changed, later + left
         self.checks.count("configurations read again")
         told, held = ", ".join(now) or "nothing", ", ".join(later)
--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -15,13 +15,14 @@
     from quincepier.addresses.section import AddressesSection
     from quincepier.clients.section import Places
     from quincepier.net.client import Shop
+    from quincepier.net.fleet.fleet import Fleet
     from quincepier.net.keeper import Keeper
     from quincepier.net.module import ModuleActor
     from quincepier.net.peers import Peers
 
 
-AT_A_START = ("addresses", "state", "members")  # sections that come and go only at a start
-ONLY_AT_A_START = ("state", "members")  # nor does what they say change before
+AT_A_START = ("addresses", "state", "members", "agreement")  # sections that come and go only at a start
+ONLY_AT_A_START = ("state", "members", "agreement")  # nor does what they say change before
 
 
 class Operators:
@@ -84,6 +85,24 @@
         section = self.file.get(MembersSection)
         return None if section is None else Peers.told(section, module.config, module.means)
 
+    def fleet(self, module: ModuleActor, peers: Peers | None) -> Fleet | None:
+        """What this front settles with the others."""
+        if peers is None or self.file.named("agreement") is None:
+            return None
+        from quincepier.net.fleet.bearing import Rules
+        from quincepier.net.fleet.fleet import Fleet
+        from quincepier.net.fleet.section import AgreementSection
+
+        section = self.file.get(AgreementSection)
+        if section is None:
+            return None
+        rules = Rules(module, self.file)
+        return Fleet(module, peers, section, rules)
+
+    def wishes(self, fleet: Fleet) -> None:
+        """The file as it holds now, read again."""
+        fleet.rules.take(self.file)
+
     @property
     def places(self) -> Places | None:
         """Whose clients' connections are whose, and how many each may have."""
--- /dev/null
+++ b/quincepier/net/fleet/chair.py
@@ -0,0 +1,178 @@
+"""What a front does while it leads: grants leases, asks the planners for the next version, proposes it.
+
+One proposal is on its way at a time. Nothing is planned before all that earlier leaders agreed is known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+from loguru import logger
+from msgspec.structs import replace
+
+from quincepier import clock
+from quincepier.checks import Checks
+from quincepier.net.fleet.seat import Seat
+from quincepier.net.fleet.words import Granted, Report, Turn
+from quincepier.rules import (
+    Change,
+    Ledger,
+    MachineSeen,
+    Pace,
+    RulesError,
+    RuleVersion,
+    Seen,
+    apply,
+    encode,
+    first,
+)
+
+Planner = Callable[[RuleVersion, Seen], Change | None]
+LOST_AFTER = 3 * clock.SECOND  # a proposal not agreed in this time is given up; one like it may come
+USUAL_LEAST, USUAL_PART = 50, 0.2  # answers in a span that tell of the usual; weight of a new reading
+USUAL_MOST = 4096
+USUAL_EVERY = clock.SECOND
+
+
+class Chair:
+    """`machines()` and `view()` as this front has them now; times of `clock.boot`."""
+
+    def __init__(
+        self,
+        name: str,
+        voters: tuple[str, ...],
+        seat: Seat,
+        pace: Pace,
+        planners: Callable[[], Sequence[Planner]],
+        machines: Callable[[], dict[str, MachineSeen]],
+        view: Callable[[], tuple[str, ...]],
+        checks: Checks,
+        alike: Callable[[int], bool | None] = lambda number: None,
+    ) -> None:
+        self.name, self.voters, self.seat, self.pace = name, voters, seat, pace
+        self.planners, self.machines, self.view, self.checks = planners, machines, view, checks
+        self.alike = alike
+        self.agreed = first()  # the newest version that is agreed, as far as this voter knows
+        self.ledger: Ledger | None = None
+        self.term = -1
+        self.proposed, self.proposed_at = 0, 0  # the number on its way, and since when
+        self.why: dict[int, str] = {}
+        self.force = -1
+        self.usual = dict[str, float]()
+        self.usual_at = 0
+        self.ahead = 0  # a number that some front decides by and the voters do not have
+
+    def committed(self, version: RuleVersion) -> bool:
+        """Whether it is newer than all before."""
+        if version.number <= self.agreed.number:
+            self.checks.count("versions agreed that are not newer")
+            return False
+        self.agreed = version
+        if self.ledger is not None:
+            self.ledger.agreed(version)
+        if self.proposed and version.number >= self.proposed:
+            self.proposed = 0
+        return True
+
+    def asked(self, now: int, report: Report) -> Granted | Turn | None:
+        """The answer to a report."""
+        self._lead(now)
+        voter, ledger, body = self.seat.voter, self.ledger, report.ask.report
+        if ledger is None or voter is None:
+            leader = self.seat.leader
+            return Turn(report.ask.token, leader if leader != self.name else "")
+        if body.number > self.agreed.number:  # of a history that the voters have lost: no lease by it
+            self.ahead = max(self.ahead, body.number)
+            self.checks.event("a version the voters do not have", f"{body.front} decides by {body.number}")
+            return None
+        grant = ledger.heard(now, report.ask, voter.lease_until)
+        if grant is None:
+            return None
+        other = body.number != self.agreed.number or body.digest != self.agreed.digest
+        return Granted(voter.term, grant, encode(self.agreed) if other else b"")
+
+    def _lead(self, now: int) -> None:
+        """Begin to lead, or end."""
+        voter, leads = self.seat.voter, self.seat.leads
+        if voter is None or not leads:
+            if self.ledger is not None:
+                logger.bind(event="leads no more", front=self.name, term=self.term).info("leads no more")
+            self.ledger, self.proposed, self.force, self.ahead = None, 0, -1, 0
+            return
+        if self.ledger is None or self.term != voter.term:
+            self.ledger, self.term, self.proposed = Ledger(now, self.pace, self.agreed), voter.term, 0
+            told = logger.bind(event="leads", front=self.name, term=self.term, number=self.agreed.number)
+            told.info("leads in term {} from version {}", self.term, self.agreed.number)
+            self.checks.count("times this front came to lead")
+
+    def turn(self, now: int) -> None:
+        """Look at what is seen, and propose what follows."""
+        self._lead(now)
+        ledger = self.ledger
+        if ledger is None:
+            return
+        seen = ledger.seen(
+            now,
+            self.view(),
+            self.machines(),
+            self.voters,
+            self.name,
+            self.alike(self.agreed.number),
+            self.usual,
+        )
+        if seen.in_force != self.force:
+            self.force = seen.in_force
+            told = logger.bind(event="version in force", number=self.force, fronts=len(seen.reports))
+            told.info("version {} in force, {} fronts with a lease", self.force, len(seen.reports))
+        self._learn_usual(now, seen)
+        if self.proposed and now - self.proposed_at < LOST_AFTER:
+            return
+        self.propose(now, seen)
+
+    def propose(self, now: int, seen: Seen) -> None:
+        changes = list(self._wanted(seen))
+        base = self.agreed
+        if self.ahead > base.number:  # numbers go on above all that any front ever decided by
+            base = replace(base, number=self.ahead)
+        elif not changes:
+            return
+        try:
+            version = apply(base, self.term, tuple(changes))
+        except RulesError as error:  # a defect of a planner: the first part's change alone
+            self.checks.event("changes that exclude each other", error.line())
+            changes = changes[:1]
+            version = apply(base, self.term, tuple(changes))
+        self.ahead, self.proposed, self.proposed_at = 0, version.number, now
+        self.why = {version.number: "; ".join(c.why for c in changes) or "numbers go on above the fronts'"}
+        self.checks.count("versions proposed")
+        self.seat.propose(encode(version))
+
+    def _wanted(self, seen: Seen) -> Iterable[Change]:
+        for planner in self.planners():
+            try:
+                change = planner(self.agreed, seen)
+            except Exception as error:  # a defect: nothing of it is changed, the other parts go on
+                self.checks.event("exception in a planner", f"{type(error).__name__}: {error}")
+                continue
+            if change is not None:
+                yield change
+
+    def _learn_usual(self, now: int, seen: Seen) -> None:
+        """Worth in time over worth by tenant, while nothing is out and nothing moves."""
+        agreed = self.agreed
+        if now - self.usual_at < USUAL_EVERY or any(o.open for o in agreed.orders):
+            return
+        if any(m.open for m in agreed.moves):
+            return
+        self.usual_at = now
+        sums = dict[str, list[float]]()
+        for report in seen.reports.values():
+            for row in report.service:
+                if not row.shard:
+                    total = sums.setdefault(row.tenant, [0.0, 0.0, 0.0])
+                    for at, value in enumerate((row.asked, row.worth, row.in_time)):
+                        total[at] += value
+        for tenant, (asked, worth, in_time) in sums.items():
+            if asked >= USUAL_LEAST and worth > 0 and (tenant in self.usual or len(self.usual) < USUAL_MOST):
+                before = self.usual.get(tenant, in_time / worth)
+                self.usual[tenant] = before + USUAL_PART * (in_time / worth - before)
--- /dev/null
+++ b/quincepier/net/fleet/effects.py
@@ -0,0 +1,143 @@
+"""What a rule version does to this front's module: machines that drain, homes, and the cautious set.
+
+The module hears of no order: machines under one are list lines that drain. What was decided by a lease that
+has run out is never written: asked before each event of the module and before each command's first byte.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from quincepier import clock
+from quincepier.interface import CacheState, ListNews, Note, RequestCame
+from quincepier.memory.requests import OpenAttempt, OpenRequest
+from quincepier.net.fleet.bearing import HomesOf, Rules
+from quincepier.net.fleet.follower import Follower
+from quincepier.net.fleet.overlay import Overlay
+from quincepier.net.fleet.tally import Tally
+from quincepier.net.module import ModuleActor
+from quincepier.rules import FrontReport, RuleVersion
+
+
+class Effects:
+    """Is the module actor's `settled`."""
+
+    def __init__(self, module: ModuleActor, follower: Follower, bearing: Rules) -> None:
+        self.module, self.follower, self.bearing = module, follower, bearing
+        self.checks = module.checks
+        self.overlay = Overlay(module.directory.hosts)
+        self.tally = Tally(module.config.settings.classes, clock.now())
+        self.homes: HomesOf | None = None
+        self.kept: RuleVersion | None = None  # of an earlier start
+        self.cautious, self.since = True, clock.boot()
+        self.unsure = False
+        self.number, self.seq, self.doubt = -1, 0, ""
+        self.applied: Callable[[], None] = lambda: None  # told after each change
+        self.busy = False
+
+    @property
+    def version(self) -> RuleVersion:
+        """By which this front decides, or, before its first grant, keeps to its cautious set."""
+        known = self.follower.version
+        old = self.kept is not None and not known.number and not self.follower.granted_once
+        return self.kept if old and self.kept is not None else known
+
+    def wants_caution(self, now: int) -> str:
+        """Why this front is to be cautious; empty where it is not."""
+        if self.follower.cautious(now):
+            return "no lease yet" if not self.follower.granted_once else "its lease has run out"
+        return self.doubt
+
+    def apply(self, why: str = "") -> None:
+        """Put the version, and whether this front is cautious, in force at the module. Cheap where nothing
+        has changed."""
+        now, version = clock.boot(), self.version
+        reason = self.wants_caution(now)
+        cautious = bool(reason)
+        if cautious != self.cautious:
+            self.since = now
+        # a move may have begun since that this front can't know of
+        unsure = cautious and (not version.number or now - self.since > self.bearing.notice)
+        if (version.number, cautious, unsure) == (self.number, self.cautious, self.unsure):
+            return
+        if version.number != self.number:
+            self.tally.begin(clock.now())
+        changed = cautious != self.cautious
+        self.number, self.cautious, self.unsure = version.number, cautious, unsure
+        self.homes = self.bearing.homes(version, cautious, unsure)
+        self.module.router.homes = self.homes  # type: ignore[attr-defined]
+        leaving = self.bearing.leaving(version, cautious)
+        news = self.overlay.change(leaving, [e.machine for e in self.module.directory.entries.values()])
+        if changed:
+            self.checks.count("cautious set entered" if cautious else "cautious set left")
+            what = "cautious entered" if cautious else "cautious left"
+            told = logger.bind(event=what, why=reason or why, number=version.number, machines=len(leaving))
+            told.info("{}: {}; version {}", what, reason or why or "a lease is held", version.number)
+        if news is not None:
+            self.busy = True
+            try:
+                self.module.told_of_list(news)
+            finally:
+                self.busy = False
+        self.applied()
+
+    # As the module's actor asks
+
+    def stale(self) -> bool:
+        """Whether a command decided before may not hold any more: looked at right before its first byte."""
+        return not self.cautious and self.follower.cautious(clock.boot())
+
+    def before(self, now: int) -> None:
+        if not self.cautious and not self.busy and self.follower.cautious(clock.boot()):
+            self.apply()
+
+    def listed(self, news: ListNews) -> ListNews:
+        if self.homes is not None:
+            self.homes.renew()
+        return self.overlay.over(news)
+
+    def heard(self, seq: int) -> None:
+        self.seq = max(self.seq, seq)
+
+    def came(self, event: RequestCame, request: OpenRequest) -> None:
+        event.tenant, request.tenant = self.bearing.tenant_of(request.item)
+        if self.homes is not None:
+            once = self.bearing.once(request.cls)
+            request.shard = self.homes.decide(event.tenant, event.object, once, event.repeat)[0]
+
+    def sent(self, attempt: OpenAttempt, now: int) -> None:
+        self.tally.sent(attempt, now)
+
+    def ended(self, attempt: OpenAttempt, note: Note) -> None:
+        if note is not Note.NONE:
+            self.tally.ended(attempt.request, note, clock.now())
+
+    def answered(self, request: OpenRequest, status: int) -> None:
+        self.tally.answered(request, status, clock.now())
+
+    # What is reported
+
+    def report(self) -> FrontReport:
+        module, now = self.module, clock.now()
+        hosts = module.directory.hosts
+        aside = [
+            entry.record.host
+            for entry in module.directory.entries.values()
+            if entry.machine.state is CacheState.READY and self._set_aside(entry.machine.cache)
+        ]
+        about = FrontReport(
+            self.follower.name,
+            self.follower.start,
+            self.follower.version.number,
+            self.follower.digest_now(),
+            self.cautious,
+            0,
+            purge_place=self.seq,
+        )
+        return self.tally.report(now, about, list(module.requests.open.values()), aside, hosts)
+
+    def _set_aside(self, number: int) -> bool:
+        node = self.module.router.nodes.get(number)
+        return node is not None and bool(node.suspect)
--- /dev/null
+++ b/quincepier/net/fleet/fleet.py
@@ -0,0 +1,260 @@
+"""One front among those that settle things together: its parts, its words and its turns of the clock.
+
+Every front follows; one that the section names as a voter has a seat too, and whoever leads has the chair.
+Nothing here is waited for by a request: a fleet that is away leaves this front with its cautious set.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from quincepier import clock
+from quincepier.consensus import Committed, Role
+from quincepier.interface import CacheState
+from quincepier.net.fleet import steps
+from quincepier.net.fleet.bearing import Rules
+from quincepier.net.fleet.chair import Chair
+from quincepier.net.fleet.effects import Effects
+from quincepier.net.fleet.follower import Follower
+from quincepier.net.fleet.kept import Kept
+from quincepier.net.fleet.seat import Seat
+from quincepier.net.fleet.section import AgreementSection
+from quincepier.net.fleet.threads import Thread
+from quincepier.net.fleet.words import AGREEMENT, RULES, Granted, Report, Told, Turn, Word, decode, encode
+from quincepier.net.module import ModuleActor
+from quincepier.net.peers import Peers
+from quincepier.rules import MachineSeen, Pace, RulesError, RuleVersion
+from quincepier.rules import decode as decode_version
+from quincepier.rules import encode as encode_version
+from quincepier.state.store import Files
+from quincepier.state.voterlog import VoterLog
+
+TURN_EVERY = 100 * clock.MS  # between turns of whoever leads
+WAIT_LEAST, WAIT_MOST = 0.005, 0.1  # seconds between looks at what is due
+KEPT_WITHIN = 0.2  # seconds that a start waits for what an earlier one kept
+ALLOW_TIMES = 2  # of its class's deadline: the longest that an attempt may be open
+DELIVERY = clock.SECOND  # and that its command may be on its way after it was given up
+
+
+class Fleet:
+    def __init__(
+        self,
+        module: ModuleActor,
+        peers: Peers,
+        section: AgreementSection,
+        rules: Rules,
+    ) -> None:
+        config, self.checks = module.config, module.checks
+        self.module, self.peers, self.section, self.name = module, peers, section, config.name
+        self.voters = tuple(sorted(section.voters))
+        longest = max((c.deadline for c in config.settings.classes), default=clock.SECOND)
+        lease, every = section.lease_ms * clock.MS, section.report_ms * clock.MS
+        self.pace = Pace(lease, every, attempt=ALLOW_TIMES * longest + DELIVERY)
+        start = time.time_ns() // clock.MS
+        self.follower = Follower(self.name, self.voters, start, clock.boot(), self.pace, config.seed)
+        self.effects = Effects(module, self.follower, rules)
+        self.rules = rules
+        self.effects.applied = self._applied
+        folder = section.place(self.name)
+        self.kept, self.keeping, self.to_keep = Kept(folder), False, -1
+        self.disk: Thread | None = None
+        self.seat: Seat | None = None
+        self.chair: Chair | None = None
+        self.turned, self.role = 0, ("", -1)
+        self.first = asyncio.Event()  # a version was heard since the start
+        self.running: asyncio.Task[None] | None = None
+        self.others: list[Callable[[int], None]] = []  # told at each look: what else is due
+        for voter, address in section.voters.items():
+            host, _, port = address.rpartition(":")
+            peers.know(voter, (host.strip("[]"), int(port)))
+
+    # Life
+
+    async def start(self) -> None:
+        """Take part, and wait a little for what the fleet has agreed: it may say what not to send to."""
+        module, name = self.module, self.name
+        module.settled, module.shared.stale = self.effects, self.effects.stale
+        self.disk = Thread("rules kept")
+        try:
+            kept = await asyncio.wait_for(self.disk.done(self.kept.load), KEPT_WITHIN)
+        except TimeoutError:
+            kept = TimeoutError("it can't be read in time")
+        if isinstance(kept, RuleVersion):
+            self.effects.kept = kept
+        elif kept is not None:
+            self.checks.event("kept version not used", f"{type(kept).__name__}: {kept}")
+        self.effects.apply()
+        self.peers.channel(RULES, self._heard)
+        if name in self.voters:
+            log = VoterLog(Files(self.kept.folder))
+            seed = time.time_ns() ^ module.config.seed
+            self.seat = Seat(
+                name,
+                self.voters,
+                log,
+                Thread("voter"),
+                seed,
+                lambda to, raw: self.peers.send(to, AGREEMENT, raw),
+                self._agreed,
+                self.checks,
+            )
+            self.chair = Chair(
+                name,
+                self.voters,
+                self.seat,
+                self.pace,
+                self.rules.planners,
+                self._machines,
+                lambda: self.peers.view,
+                self.checks,
+            )
+            self.peers.channel(AGREEMENT, self.seat.heard)
+            self.seat.open()
+        self.running = asyncio.get_running_loop().create_task(self._run())
+        try:
+            await asyncio.wait_for(self.first.wait(), self.section.first_ms / 1000)
+        except TimeoutError:
+            self.checks.event("no version at the start", "serves by its cautious set until one is heard")
+
+    def end(self) -> None:
+        if self.running is not None:
+            self.running.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                wait = self._due()
+            except Exception as error:  # a defect: the next turn comes all the same
+                self.checks.event("exception in the fleet", f"{type(error).__name__}: {error}")
+                wait = WAIT_MOST
+            await asyncio.sleep(wait)
+
+    def _due(self) -> float:
+        """All that is due now; the seconds until something is again."""
+        now = clock.boot()
+        seat, chair = self.seat, self.chair
+        if seat is not None and now >= seat.wake:
+            seat.tick()
+        if chair is not None and now - self.turned >= TURN_EVERY:
+            self.turned = now
+            chair.turn(now)
+        self.effects.apply()  # a lease that ran out with nothing asked since
+        said = self.follower.due(clock.boot(), self.effects.report)
+        if said is not None:
+            self._say(*said)
+        for other in self.others:
+            other(now)
+        wake = min(self.follower.wake, seat.wake if seat is not None else self.follower.wake)
+        return min(max((wake - clock.boot()) / clock.SECOND, WAIT_LEAST), WAIT_MOST)
+
+    # Words
+
+    def _say(self, to: str, word: Word) -> None:
+        if to == self.name:
+            asyncio.get_running_loop().call_soon(self._hear, to, word)
+        else:
+            self.peers.send(to, RULES, encode(word))
+
+    def _heard(self, sender: str, raw: bytes) -> None:
+        word = decode(raw)
+        if word is None:
+            self.checks.count("words about rules not taken")
+        else:
+            self._hear(sender, word)
+
+    def _hear(self, sender: str, word: Word) -> None:
+        now = clock.boot()
+        match word:
+            case Report(ask):
+                if ask.report.front != sender:
+                    self.checks.count("words about rules not taken")
+                    return
+                turn = Turn(ask.token, self.follower.told_leader)
+                answer = self.chair.asked(now, word) if self.chair is not None else turn
+                if answer is not None:
+                    self._say(sender, answer)
+            case Granted() | Turn() | Told():
+                try:
+                    self.follower.heard(now, sender, word)
+                except RulesError as error:
+                    self.checks.event("rule version not taken", f"from {sender}: {error.line()}")
+                self._followed(sender)
+
+    def _followed(self, sender: str) -> None:
+        before = self.effects.number
+        self.effects.apply(f"a lease by {sender}")
+        number = self.effects.number
+        if number != before:
+            told = logger.bind(event="version adopted", number=number, by=sender)
+            told.info("version {} adopted", number)
+            self.checks.count("versions adopted")
+        if self.follower.granted_once or self.follower.version.number:
+            self.first.set()
+
+    def _agreed(self, what: Committed | Role) -> None:
+        """As the voter of this front says."""
+        chair = self.chair
+        if chair is None:
+            return
+        if isinstance(what, Role):
+            role = (what.leader or "", what.term)
+            if role != self.role:
+                self.role = role
+                told = logger.bind(event="leader", leader=role[0], term=role[1])
+                told.info("leader {} in term {}", role[0] or "unknown", role[1])
+            return
+        if not what.data:
+            return
+        try:
+            version = decode_version(what.data)
+        except RulesError as error:
+            self.checks.event("agreed entry not taken", error.line())
+            return
+        before = chair.agreed
+        if not chair.committed(version):
+            return
+        self.checks.count("versions agreed")
+        word = Told(what.term, encode_version(version))
+        if chair.ledger is not None:  # one that leads tells all
+            steps.tell(before, version, chair.why.pop(version.number, ""))
+            for front in self.peers.view:
+                if front != self.name:
+                    self._say(front, word)
+        self._hear(self.name, word)
+
+    # What is kept, and what is seen
+
+    def _applied(self) -> None:
+        version = self.follower.version
+        if version.number > self.to_keep and version.number:
+            self.to_keep = version.number
+            self._keep()
+
+    def _keep(self) -> None:
+        if self.keeping or self.disk is None:
+            return
+        version = self.follower.version
+
+        def kept(outcome: object) -> None:
+            self.keeping = False
+            if isinstance(outcome, Exception):
+                self.checks.event("version not kept", str(outcome))
+            elif self.to_keep > version.number:
+                self._keep()
+
+        self.keeping = self.disk.do(lambda: self.kept.save(version), kept)
+
+    def _machines(self) -> dict[str, MachineSeen]:
+        s, now, out = self.module.config.settings, clock.now(), dict[str, MachineSeen]()
+        for host, entry in self.module.directory.entries.items():
+            m = entry.machine
+            kind = "parent" if m.kind == s.parent_kind else "origin" if m.kind == s.origin_kind else "cache"
+            warm = (s.parent_cold_time if kind == "parent" else s.cold_time) + s.cold_window
+            up = now - m.up_since if m.up_since else 1 << 61
+            ready = m.state is CacheState.READY
+            out[host] = MachineSeen(host, kind, entry.record.site, ready, up // clock.MS, warm // clock.MS)
+        return out
--- a/quincepier/net/fleet/follower.py
+++ b/quincepier/net/fleet/follower.py
@@ -27,12 +27,19 @@
         self.asks = self.random.choice(voters)  # whom it asks
         self.unheard, self.turned, self.rested = 0, 0, now
         self.granted_once = False  # a lease was had since the start
+        self.digest, self.digest_of = "", -1
         self.told_leader = ""  # who answered with a grant last
 
     @property
     def version(self) -> RuleVersion:
         return self.holder.version
 
+    def digest_now(self) -> str:
+        """Of the version held, worked out once."""
+        if self.digest_of != self.version.number:
+            self.digest, self.digest_of = self.version.digest, self.version.number
+        return self.digest
+
     @property
     def wake(self) -> int:
         return self.holder.next
--- a/quincepier/net/fleet/seat.py
+++ b/quincepier/net/fleet/seat.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Protocol
 
 from quincepier import clock
@@ -16,15 +16,18 @@
 from quincepier.net.fleet.threads import Thread
 from quincepier.state.voterrecords import Record, Saved
 
+RETRY = 1.0  # seconds until a write that failed is tried again
 HELD_MOST = 4096  # words that wait for the disk; the oldest go, as the voters say them again
 
 
 class VoterDisk(Protocol):
-    """Blocking. Any exception: from then on this voter is silent."""
+    """Blocking; as `state.voterlog.VoterLog`. Until a save that failed has succeeded the voter is silent."""
 
-    def open(self) -> Saved | None: ...
+    def open(self) -> None: ...
 
-    def write(self, records: Sequence[Record]) -> None:
+    def load(self) -> Saved | None: ...
+
+    def save(self, records: tuple[Record, ...]) -> int:
         """On disk as it returns."""
 
 
@@ -50,7 +53,12 @@
 
     def open(self) -> None:
         """Read the log; the voter speaks once that is done."""
-        self.thread.do(self.disk.open, self._opened)
+
+        def read() -> Saved | None:
+            self.disk.open()
+            return self.disk.load()
+
+        self.thread.do(read, self._opened)
 
     def _opened(self, saved: Saved | None | Exception) -> None:
         if isinstance(saved, Exception):
@@ -110,8 +118,9 @@
         def stored(outcome: object) -> None:
             if self.voter is None:
                 return
-            if isinstance(outcome, Exception):
-                self._silent(outcome)
+            if isinstance(outcome, Exception):  # full, or broken: the same again, and nothing is said before
+                self.checks.event("voter silent", f"{type(outcome).__name__}: {outcome}")
+                self.thread.loop.call_later(RETRY, self._store, store)
                 return
             self.on_disk = store.ticket
             while self.held and self.held[0].after <= store.ticket:
@@ -119,5 +128,5 @@
                 self.send(word.to, word.data)
             self._perform(self.voter.stored(clock.boot(), store.ticket))
 
-        if not self.thread.do(lambda: self.disk.write(store.records), stored):
+        if not self.thread.do(lambda: self.disk.save(store.records), stored):
             self._silent(OSError("the disk is behind by too many writes"))
--- /dev/null
+++ b/quincepier/net/fleet/steps.py
@@ -0,0 +1,38 @@
+"""What differs between two versions, as log lines: each step of an order or a move with its reason."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from loguru import logger
+
+from quincepier.rules import Move, Order, RuleVersion
+
+LINES_MOST = 50  # of one version
+
+
+def tell(before: RuleVersion, after: RuleVersion, why: str) -> None:
+    """By whoever leads, once for a version."""
+    told = logger.bind(event="version agreed", number=after.number, term=after.term, why=why)
+    told.info("version {} agreed in term {}: {}", after.number, after.term, why or "nothing told")
+    for n, (kind, entry, name) in enumerate(_differ(before, after)):
+        if n >= LINES_MOST:
+            return
+        step = entry.step.name.lower()
+        fields: dict[str, object] = {"wish": entry.wish, kind: name, "step": step, "why": entry.why}
+        if isinstance(entry, Move):
+            fields["part"] = entry.part
+        what = "order step" if kind == "machine" else "move step"
+        line = logger.bind(event=what, number=after.number, **fields)
+        line.info("{}: {} {} {}{}{}", what, entry.wish, name, step, ": " if entry.why else "", entry.why)
+
+
+def _differ(before: RuleVersion, after: RuleVersion) -> Iterator[tuple[str, Order | Move, str]]:
+    orders = {(o.wish, o.target): o.step for o in before.orders}
+    for order in after.orders:
+        if orders.get((order.wish, order.target)) != order.step:
+            yield "machine", order, order.target
+    moves = {m.wish: (m.step, m.part) for m in before.moves}
+    for move in after.moves:
+        if moves.get(move.wish) != (move.step, move.part):
+            yield "tenant", move, move.tenant
