--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -18,6 +18,7 @@
     "state": "quincepier.state.section:StateSection",
     "agreement": "quincepier.net.fleet.section:AgreementSection",
     "members": "quincepier.membership.section:MembersSection",
+    "maintenance": "quincepier.maintenance.section:MaintenanceSection",
 }
 
 
