--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -159,6 +159,7 @@
             *command, cwd=rig.checkout, env=environment, stdin=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE, preexec_fn=child.dies_with_parent,
         )  # fmt: skip
+        rig.reach(self.number, "open", (relay.PEERS,))  # a front may ask others before it serves
         rig.story.starts.append((began, self.number, len(events)))
         self._spawn(self._log(self.process))
         self._spawn(self._watch(self.process))
@@ -411,9 +412,11 @@
 
         task.add_done_callback(done)
 
-    def reach(self, front: int, how: str) -> None:
+    def reach(
+        self, front: int, how: str, paths: tuple[str, ...] = (relay.CLIENTS, relay.PEERS)
+    ) -> None:
         """A front is there or not: the paths that lead to it are told."""
-        for path in (relay.CLIENTS, relay.PEERS):
+        for path in paths:
             if path in self.relays:
                 self.relays[path].say(live=path, other=front, how=how)
 
--- a/quincepier/lab/fleet/standins.py
+++ b/quincepier/lab/fleet/standins.py
@@ -233,9 +233,17 @@
                 purge = {"bucket": group, "time": (at + self.plan.wall) // MS}
                 self.after(delay, self.log.add, "purged", [group, at], {"invalidate": purge})
 
+    def work(self, machine: Machine, lasts: int) -> None:
+        """That one machine is worked on: down for a while, then started anew, empty."""
+        self.machines.down(machine, "dead")
+        child.tell(live="caches", other=machine.index, how="refused")
+        self.after(lasts, self.machines.back, machine)
+
     def hear(self, words: dict[str, Any]) -> None:
         if "strike" in words:
             self.strike(msgspec.convert(words["strike"], Fault))
+        elif "work" in words:
+            self.work(self.by_index[words["work"]], int(words["lasts"] * SECOND))
         elif "arm" in words:
             self.armed.append((words["what"], self.counts[words["what"]] + words["nth"], words["arm"]))
 
--- a/quincepier/net/fleet/bearing.py
+++ b/quincepier/net/fleet/bearing.py
@@ -8,12 +8,15 @@
 
 from typing import Protocol
 
+from loguru import logger
+
 from quincepier import clock
 from quincepier.interface import Effect, Home, RequestCame
+from quincepier.maintenance import MaintenanceSection, leaving, named, plan
 from quincepier.net.fleet.chair import Planner
 from quincepier.net.module import ModuleActor
 from quincepier.operator import OperatorFile
-from quincepier.rules import RuleVersion
+from quincepier.rules import Change, RuleVersion, Seen
 
 
 class HomesOf(Protocol):
@@ -32,18 +35,33 @@
         self.once_of = [c.effect is not Effect.SAFE for c in module.config.settings.classes]
         self.notice = 60 * clock.SECOND
         self.plans: list[Planner] = []
+        self.named = frozenset[str]()
+        self.waits: tuple[str, ...] = ()
         self.take(file)
 
     def take(self, file: OperatorFile) -> None:
         """What the file wishes now."""
         self.plans = []
+        wished = MaintenanceSection()
+        if file.named("maintenance") is not None:
+            wished = file.get(MaintenanceSection) or wished
+        self.named, self.waits = named(wished), ()
+        # an order that nobody wishes any more is ended by the same plan: there is one without a section
+        self.plans.append(lambda version, seen: self._orders(wished, version, seen))
+
+    def _orders(self, wished: MaintenanceSection, version: RuleVersion, seen: Seen) -> Change | None:
+        found = plan(version, wished, seen)
+        if found.tells != self.waits:
+            self.waits = found.tells
+            detail = "; ".join(found.tells)
+            logger.bind(event="orders wait", detail=detail).info("orders wait: {}", detail or "none")
+        return found.change
 
     def planners(self) -> list[Planner]:
         return self.plans
 
     def leaving(self, version: RuleVersion, cautious: bool) -> frozenset[str]:
-        machines = [o for o in version.orders if o.kind != "front"]
-        return frozenset(o.target for o in machines if (o.open if cautious else o.aside))
+        return leaving(version, cautious, self.name, self.named)
 
     def homes(self, version: RuleVersion, cautious: bool, unsure: bool) -> HomesOf | None:
         return None
--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -134,7 +134,7 @@
         base = self.agreed
         if self.ahead > base.number:  # numbers go on above all that any front ever decided by
             base = replace(base, number=self.ahead)
-        elif not changes:
+        elif not changes and base.number:  # 0 stands for nothing agreed: nothing is planned from there
             return
         try:
             version = apply(base, self.term, tuple(changes))
@@ -143,7 +143,7 @@
             changes = changes[:1]
             version = apply(base, self.term, tuple(changes))
         self.ahead, self.proposed, self.proposed_at = 0, version.number, now
-        self.why = {version.number: "; ".join(c.why for c in changes) or "numbers go on above the fronts'"}
+        self.why = {version.number: "; ".join(c.why for c in changes) or "the first, or numbers go on above the fronts'"}
         self.checks.count("versions proposed")
         self.seat.propose(encode(version))
 
