--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -19,6 +19,7 @@
     from quincepier.net.keeper import Keeper
     from quincepier.net.module import ModuleActor
     from quincepier.net.peers import Peers
+    from quincepier.net.peers.divide import Divider
 
 
 AT_A_START = ("addresses", "state", "members", "agreement")  # sections that come and go only at a start
@@ -31,6 +32,7 @@
     def __init__(self, path: str) -> None:
         """Raises OperatorError with all that is wrong with the file."""
         self.path, self.file = path, load(path)
+        self.divider: Divider | None = None
 
     @property
     def log_format(self) -> str:
@@ -81,9 +83,14 @@
             return None
         from quincepier.membership.section import MembersSection
         from quincepier.net.peers import Peers
+        from quincepier.net.peers.divide import Divider
 
         section = self.file.get(MembersSection)
-        return None if section is None else Peers.told(section, module.config, module.means)
+        if section is None:
+            return None
+        peers = Peers.told(section, module.config, module.means)
+        self.divider = Divider(module, peers)
+        return peers
 
     def fleet(self, module: ModuleActor, peers: Peers | None) -> Fleet | None:
         """What this front settles with the others."""
