--- a/quincepier/consensus/voter.py
+++ b/quincepier/consensus/voter.py
@@ -70,7 +70,10 @@
                 mind.send(sender, Hello(mind.roster), word.identity)
         elif voters.marked(mind, word):
             self._hear(mind, word)
-            election.tick(mind) if mind.part is Part.LEADS else None
+            if mind.part is Part.LEADS:
+                election.tick(mind)
+                if mind.now >= mind.due:
+                    replication.beat(mind)
             replication.advance(mind)
         return mind.flush()
 
@@ -89,8 +92,8 @@
             case Vote():
                 election.voted(mind, word, body)
             case _ if word.term < mind.term:
-                if not isinstance(body, Appended):  # so that an old leader learns of the new term
-                    mind.send(word.name, Appended(body.at, False, 0, mind.log.last), word.identity)
+                if isinstance(body, Append | Install):  # so that an old leader learns of the new term
+                    replication.answer(mind, word, body.at, False, 0)
             case Append() if mind.part is not Part.LEADS:
                 replication.append(mind, word, body)
             case Install() if mind.part is not Part.LEADS:
