--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -16,6 +16,7 @@
     "addresses": "quincepier.addresses.section:AddressesSection",
     "clients": "quincepier.clients.section:ClientsSection",
     "state": "quincepier.state.section:StateSection",
+    "tenants": "quincepier.tenancy.section:TenantsSection",
 }
 
 
--- /dev/null
+++ b/quincepier/tenancy/steps.py
@@ -0,0 +1,237 @@
+"""The steps of moves: what the next version says, from the last one, the wishes and what is seen.
+
+Held here, each with a mutant in the tests: what may not be repeated goes to the other home only when a
+version that refuses it was in force at all fronts; its repeats only when the longest hold has passed since;
+nothing is left closed over `CLOSING_MOST` for a front or a leader that is away: it opens where it was.
+"""
+
+from __future__ import annotations
+
+from msgspec.structs import replace
+
+from quincepier import clock
+from quincepier.rules import Change, Home, Move, MoveStep, RuleVersion, Seen, Shard
+from quincepier.rules.version import MOVES_MOST, PARTS
+from quincepier.tenancy.gap import Wishes
+from quincepier.tenancy.growth import WARM_PART, cold_host, grown, ready_hosts, under_work
+from quincepier.tenancy.homes import CLOSED
+from quincepier.tenancy.section import COMMON, MoveLine
+from quincepier.tenancy.verify import Verdict, compare, in_same_seconds, judge, unharmed
+
+CLOSING_MOST = 500 * clock.MS  # agreed for so long and not in force: opened again where it was
+VERIFY_LEAST = 10 * clock.SECOND  # also the rest between two tries of closing
+REST = 2 * clock.SECOND  # between two tries of closing on the way back
+Step = MoveStep
+
+
+def advance(version: RuleVersion, wishes: Wishes, seen: Seen) -> Change | None:
+    """What tenants want changed by now, or None. Called by the leader, each turn, with its own file."""
+    lines = {line.id: line for line in wishes.section.moves}
+    homes, moves, why = list(version.homes), list[Move](), list[str]()
+    for move in version.moves:
+        if not move.open:
+            if move.wish in lines:  # kept while the wish stands there, so that it does not begin again
+                moves.append(move)
+            continue
+        line = lines.get(move.wish)
+        after = _next(version, move, line if line and line.of(move) else None, wishes, seen)
+        moves.append(after)
+        if after != move:
+            why.append(f"{move.wish}: {move.tenant} {_told(after)}")
+        if after.step is Step.DONE:
+            homes = [h for h in homes if h.tenant != move.tenant] + [Home(move.tenant, move.new)]
+    for line in wishes.section.moves:
+        if (begun := _begun(version, moves, homes, line)) is not None:
+            moves.append(begun)
+            why.append(f"{line.id}: {line.tenant} planned from {begun.old or COMMON} to {line.to}")
+    shards = wishes.section.as_shards
+    used = {h.shard for h in homes} | {s for m in moves if m.open for s in (m.old, m.new)}
+    names = {s.name for s in shards}
+    shards += tuple(s for s in version.shards if s.name in used and s.name not in names)
+    if any(m.open for m in moves + list(version.moves)) and version.shards:
+        shards = _grown_only(version, shards)  # machines of a home do not change under a move
+    if shards != version.shards:
+        why.append("shards as in the file")
+    for name, tenant in sorted(wishes.section.tenants.items()):
+        if all(h.tenant != name for h in homes):
+            homes.append(Home(name, "" if tenant.home == COMMON else tenant.home))
+            why.append(f"{name} at home in {tenant.home}")
+    new_homes, new_moves = tuple(homes), tuple(moves)
+    if (shards, new_homes, new_moves) == (version.shards, version.homes, version.moves):
+        return None
+    return Change(
+        "; ".join(why) or "moves that nobody names any more are dropped",
+        shards=None if shards == version.shards else shards,
+        homes=None if new_homes == version.homes else new_homes,
+        moves=None if new_moves == version.moves else new_moves,
+    )
+
+
+def held_back(version: RuleVersion) -> frozenset[str]:
+    """Host ids of machines that an order is not to begin with: of the shards of moves that have begun. The
+    common home is not in it: its machines are too many to be of one move."""
+    return frozenset(
+        host
+        for m in version.moves
+        if m.open and m.step > Step.PLANNED
+        for s in version.shards
+        if s.name in (m.old, m.new)
+        for host in (*s.caches, *s.parents)
+    )
+
+
+def _grown_only(version: RuleVersion, wanted: tuple[Shard, ...]) -> tuple[Shard, ...]:
+    kept = {s.name: s for s in version.shards}
+    taken = {host for s in version.shards for host in s.caches}
+    fresh = (s for s in wanted if s.name not in kept and not taken & set(s.caches))
+    return tuple(sorted((*kept.values(), *fresh), key=lambda s: s.name))
+
+
+def _begun(version: RuleVersion, moves: list[Move], homes: list[Home], line: MoveLine) -> Move | None:
+    """A wish that begins: not known yet, its tenant under no other move, and not at home there already."""
+    old = next((h.shard for h in homes if h.tenant == line.tenant), None)
+    known = any(m.wish == line.id or m.open and m.tenant == line.tenant for m in moves)
+    if known or line.rollback or old is None or old == line.shard or len(moves) >= MOVES_MOST:
+        return None
+    if line.shard and version.shard(line.shard) is None:  # its shard comes with this change: the next turn
+        return None
+    return Move(line.id, line.tenant, old, line.shard, Step.PLANNED, 0)
+
+
+def _told(move: Move) -> str:
+    part = f" {move.part}/{PARTS}" if move.step in (Step.WARMING, Step.CUT_OVER) else ""
+    return f"{move.step.name.lower()}{part}{' (' + move.why + ')' if move.why else ''}"
+
+
+def _to(move: Move, step: MoveStep, why: str = "", part: int | None = None) -> Move:
+    return replace(move, step=step, why=why[:200], part=move.part if part is None else part)
+
+
+def _next(version: RuleVersion, m: Move, line: MoveLine | None, wishes: Wishes, seen: Seen) -> Move:
+    """The move after this turn. A wish that is gone, or says something else now, counts as a pause."""
+    goes = line is not None and not line.pause and m.step < line.limit
+    if m.step in (Step.PLANNED, Step.WARMING, Step.VERIFY, Step.CLOSING):
+        if line is not None and line.rollback:
+            return _to(m, Step.BACK, "by wish", 0)
+        if m.step > Step.PLANNED and not ready_hosts(seen, version, m.new):
+            return _to(m, Step.BACK, "the new home has no machine left", 0)
+    if m.step is Step.PLANNED:
+        return _planned(version, m, wishes, seen) if goes else m
+    if m.step is Step.WARMING:
+        return _warming(version, m, line, goes, seen)
+    if m.step is Step.VERIFY:
+        return _verified(version, m, goes, seen)
+    if m.step is Step.CLOSING:
+        return _closing(m, line is None or line.pause or line.limit <= Step.VERIFY, seen)
+    if m.step is Step.RETURNING:
+        return _returning(m, line is not None and line.pause, wishes, seen)
+    return _cut_over(version, m, line, goes, wishes, seen)
+
+
+def in_force(m: Move, seen: Seen) -> bool:
+    """Whether no front decides by a version before this step, and none will."""
+    return seen.in_force >= m.since and seen.lapsed
+
+
+def age(m: Move, seen: Seen) -> int:
+    """Nanoseconds for which the step is surely in force."""
+    return seen.ages.get(m.since, seen.in_force_for) if in_force(m, seen) else 0
+
+
+def all_here(version: RuleVersion, seen: Seen) -> bool:
+    """Whether closing would be short: every member reports and decides by the newest version."""
+    whole = set(seen.view) <= set(seen.reports) and seen.alike is not False
+    return whole and seen.lapsed and seen.in_force >= version.number
+
+
+def _planned(version: RuleVersion, m: Move, wishes: Wishes, seen: Seen) -> Move:
+    # A front without a lease may not know of the move. It takes what may not be repeated for the notice only.
+    if age(m, seen) < wishes.notice or not all_here(version, seen):
+        return m
+    if not ready_hosts(seen, version, m.new) or cold_host(seen, version, m.new) or under_work(version, m.new):
+        return m
+    shared = {m.old, m.new}
+    if any(o.open and o.step > Step.PLANNED and shared & {o.old, o.new} for o in version.moves if o is not m):
+        return m  # one at a time at each home: fills are judged by their sum
+    part, why = grown(seen, m, WARM_PART)
+    return _to(m, Step.WARMING, why, part) if part else m
+
+
+def _warming(version: RuleVersion, m: Move, line: MoveLine | None, goes: bool, seen: Seen) -> Move:
+    if in_same_seconds(seen):
+        found = compare(seen, m.tenant, m.old, m.new, False)
+        if found.verdict is Verdict.FAIL:
+            return _to(m, Step.BACK, found.line, 0)
+        if (found := unharmed(seen, sorted({*seen.usual, ""} - {m.tenant}))).verdict is Verdict.FAIL:
+            return _to(m, Step.BACK, f"others: {found.line}", 0)
+    if line is None or line.pause or not all_here(version, seen):
+        return m
+    if cold_host(seen, version, m.new) or under_work(version, m.new):
+        return m
+    if m.part >= WARM_PART:
+        return _to(m, Step.VERIFY) if goes else m
+    part, why = grown(seen, m, WARM_PART)
+    return _to(m, Step.WARMING, why, part) if part != m.part else m
+
+
+def _verified(version: RuleVersion, m: Move, goes: bool, seen: Seen) -> Move:
+    gone = not ready_hosts(seen, version, m.old)
+    found = judge(seen, m.tenant, m.old, m.new)
+    if found.verdict is Verdict.FAIL:
+        return _to(m, Step.BACK, found.line, 0)
+    if not goes or not all_here(version, seen) or age(m, seen) < VERIFY_LEAST or under_work(version, m.new):
+        return m
+    if gone:
+        return _to(m, Step.CLOSING, "the old home has no machine left to compare with")
+    return _to(m, Step.CLOSING, found.line) if found.verdict is Verdict.PASS else m
+
+
+def _closing(m: Move, pause: bool, seen: Seen) -> Move:
+    if pause or seen.alike is False:
+        return _to(m, Step.VERIFY, "paused" if pause else "fronts do not all decide alike")
+    if in_force(m, seen):
+        return _to(m, Step.CUT_OVER)
+    if seen.agreed_for >= CLOSING_MOST:  # a front or the leader is away: nobody is kept waiting for it
+        return _to(m, Step.VERIFY, "not all fronts followed in time: tried again later")
+    return m
+
+
+def _cut_over(
+    version: RuleVersion, m: Move, line: MoveLine | None, goes: bool, wishes: Wishes, seen: Seen
+) -> Move:
+    """CUT_OVER and DRAINING. A `part` of 0 is a move on its way back that is not closed yet."""
+    if m.part == 0:
+        rested = seen.in_force >= version.number and seen.in_force_for >= REST
+        here = set(seen.view) <= set(seen.reports) and seen.lapsed
+        return _to(m, Step.RETURNING, m.why, CLOSED) if rested and here else m
+    if line is not None and line.rollback:
+        return _to(m, Step.CUT_OVER, "by wish", 0)
+    if not ready_hosts(seen, version, m.new) and ready_hosts(seen, version, m.old):
+        return _to(m, Step.CUT_OVER, "the new home has no machine left", 0)
+    if in_same_seconds(seen) and (found := unharmed(seen, sorted({*seen.usual, ""}))).verdict is Verdict.FAIL:
+        return _to(m, Step.CUT_OVER, found.line, 0)
+    if m.step is Step.CUT_OVER and m.part < PARTS:
+        still = line is None or line.pause or cold_host(seen, version, m.new) or under_work(version, m.new)
+        if still or not all_here(version, seen):
+            return m
+        part, why = grown(seen, m, PARTS)
+        return _to(m, Step.CUT_OVER, why, part) if part != m.part else m
+    if not goes or not in_force(m, seen):
+        return m
+    if m.step is Step.CUT_OVER:
+        return _to(m, Step.DRAINING) if age(m, seen) >= wishes.hold else m
+    left = any(
+        (tenant, shard) == (m.tenant, m.old or COMMON) and open_
+        for r in seen.reports.values()
+        for tenant, shard, open_ in r.open_keyed
+    )
+    return m if left else _to(m, Step.DONE)
+
+
+def _returning(m: Move, pause: bool, wishes: Wishes, seen: Seen) -> Move:
+    if m.part == CLOSED:
+        if in_force(m, seen):
+            return _to(m, Step.RETURNING, m.why, 0)
+        late = seen.agreed_for >= CLOSING_MOST
+        return _to(m, Step.CUT_OVER, m.why, 0) if late else m
+    return _to(m, Step.BACK, m.why) if age(m, seen) >= wishes.hold and not pause else m
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -34,7 +34,8 @@
 def test_the_example_is_good_and_its_defaults_are_those_of_the_section() -> None:
     file = load(str(EXAMPLE))
     section, log = file.get(AddressesSection), file.get(LogSection)
-    assert file.names == ["log", "addresses", "clients", "state"] and section is not None and log is not None
+    assert file.names == ["log", "addresses", "clients", "state", "tenants"]
+    assert section is not None and log is not None
     state = file.get(StateSection)
     assert state == StateSection(folder="/var/lib/quincepier/front-1")
     assert [a.family for a in section.machines["s-1"]] == [Family.IP6, Family.UNIX]
