--- a/quincepier/rules/version.py
+++ b/quincepier/rules/version.py
@@ -86,11 +86,11 @@
     PLANNED = 0
     WARMING = 1  # `part` of the keys go to the new home, growing; what may not be repeated stays at the old
     VERIFY = 2  # the part stays, both homes are compared
-    CLOSING = 3  # what may not simply be repeated is refused: it runs at neither home
-    CUT_OVER = 4  # all keys, and after the gap what may not be repeated, go to the new home
-    DRAINING = 5  # nothing goes to the old home; what was open there ends
+    CLOSING = 3  # repeats of what may not simply be repeated are refused; firsts still go to the old home
+    CUT_OVER = 4  # all keys in steps, and what may not be repeated at once; repeats of that are refused still
+    DRAINING = 5  # nothing goes to the old home, repeats to the new; what was open there ends
     DONE = 6
-    RETURNING = 7  # a rollback on its way: as CLOSING, and then all goes to the old home
+    RETURNING = 7  # a rollback on its way: all at the old home, repeats refused
     BACK = 8  # rolled back: everything as before the move
 
 
--- a/quincepier/tenancy/homes.py
+++ b/quincepier/tenancy/homes.py
@@ -12,8 +12,6 @@
 from quincepier.rules.version import PARTS
 from quincepier.tenancy.known import Tenants
 
-CLOSED = 1  # `Move.part` of a move that returns, while what may not be repeated runs at neither home
-
 
 def part_of(key: int) -> int:
     """The part of a tenant's keys, of PARTS, that an object (64 bits) is in: the same at every front."""
@@ -28,15 +26,15 @@
         early = step <= MoveStep.CLOSING and cautious or step is MoveStep.RETURNING
         over = step is MoveStep.DRAINING or not early and part < move.part
         return (move.new if over else move.old), False
-    # A first runs where the version says. A repeat may have run at the other home, so it waits until the
-    # caches' memory of repeats could no longer tell it either.
+    # A first runs where the version says, and needs no gap: each of two neighbouring versions refuses its
+    # repeats. A repeat may have run at the other home, so it waits until a cache could not tell it either.
     if step is MoveStep.CUT_OVER:
         return move.new, cautious or repeat
     if step is MoveStep.DRAINING:
         return move.new, cautious
     if step is MoveStep.RETURNING:
-        return move.old, cautious or repeat or move.part == CLOSED
-    return move.old, cautious or step is MoveStep.CLOSING
+        return move.old, cautious or repeat
+    return move.old, cautious or step is MoveStep.CLOSING and repeat
 
 
 class Homes:
--- a/quincepier/tenancy/known.py
+++ b/quincepier/tenancy/known.py
@@ -26,5 +26,5 @@
         return 0
 
     def name(self, number: int) -> str:
-        """"" for numbers of nobody, also for such as this section does not know."""
+        """ "" for numbers of nobody, also for such as this section does not know."""
         return self.names[number] if 0 <= number < len(self.names) else ""
--- a/quincepier/tenancy/steps.py
+++ b/quincepier/tenancy/steps.py
@@ -1,8 +1,8 @@
 """The steps of moves: what the next version says, from the last one, the wishes and what is seen.
 
 Held here, each with a mutant in the tests: what may not be repeated goes to the other home only when a
-version that refuses it was in force at all fronts; its repeats only when the longest hold has passed since;
-nothing is left closed over `CLOSING_MOST` for a front or a leader that is away: it opens where it was.
+version that refuses its repeats is in force at all fronts; its repeats only when the longest hold has passed
+since; repeats are not refused for longer than `CLOSING_MOST` for a front or a leader that is away.
 """
 
 from __future__ import annotations
@@ -14,13 +14,11 @@
 from quincepier.rules.version import MOVES_MOST, PARTS
 from quincepier.tenancy.gap import Wishes
 from quincepier.tenancy.growth import WARM_PART, cold_host, grown, ready_hosts, under_work
-from quincepier.tenancy.homes import CLOSED
 from quincepier.tenancy.section import COMMON, MoveLine
 from quincepier.tenancy.verify import Verdict, compare, in_same_seconds, judge, unharmed
 
-CLOSING_MOST = 500 * clock.MS  # agreed for so long and not in force: opened again where it was
+CLOSING_MOST = 500 * clock.MS  # agreed for so long and not in force: repeats run at the old home again
 VERIFY_LEAST = 10 * clock.SECOND  # also the rest between two tries of closing
-REST = 2 * clock.SECOND  # between two tries of closing on the way back
 Step = MoveStep
 
 
@@ -124,7 +122,8 @@
     if m.step is Step.CLOSING:
         return _closing(m, line is None or line.pause or line.limit <= Step.VERIFY, seen)
     if m.step is Step.RETURNING:
-        return _returning(m, line is not None and line.pause, wishes, seen)
+        still = line is not None and line.pause or age(m, seen) < wishes.hold
+        return m if still else _to(m, Step.BACK, m.why)
     return _cut_over(version, m, line, goes, wishes, seen)
 
 
@@ -199,11 +198,9 @@
 def _cut_over(
     version: RuleVersion, m: Move, line: MoveLine | None, goes: bool, wishes: Wishes, seen: Seen
 ) -> Move:
-    """CUT_OVER and DRAINING. A `part` of 0 is a move on its way back that is not closed yet."""
+    """CUT_OVER and DRAINING. A `part` of 0 is a move on its way back: firsts still at the new home."""
     if m.part == 0:
-        rested = seen.in_force >= version.number and seen.in_force_for >= REST
-        here = set(seen.view) <= set(seen.reports) and seen.lapsed
-        return _to(m, Step.RETURNING, m.why, CLOSED) if rested and here else m
+        return _to(m, Step.RETURNING, m.why) if seen.in_force >= version.number and seen.lapsed else m
     if line is not None and line.rollback:
         return _to(m, Step.CUT_OVER, "by wish", 0)
     if not ready_hosts(seen, version, m.new) and ready_hosts(seen, version, m.old):
@@ -226,12 +223,3 @@
         for tenant, shard, open_ in r.open_keyed
     )
     return m if left else _to(m, Step.DONE)
-
-
-def _returning(m: Move, pause: bool, wishes: Wishes, seen: Seen) -> Move:
-    if m.part == CLOSED:
-        if in_force(m, seen):
-            return _to(m, Step.RETURNING, m.why, 0)
-        late = seen.agreed_for >= CLOSING_MOST
-        return _to(m, Step.CUT_OVER, m.why, 0) if late else m
-    return _to(m, Step.BACK, m.why) if age(m, seen) >= wishes.hold and not pause else m
--- a/quincepier/tenancy/verify.py
+++ b/quincepier/tenancy/verify.py
@@ -125,7 +125,7 @@
     others = unharmed(seen, sorted({*seen.usual, ""} - {tenant}))
     if others.verdict is not Verdict.PASS:
         return others
-    if seen.reports and not total(seen, tenant).asked:
+    if seen.reports and not total(seen, tenant, old).asked + total(seen, tenant, new).asked:
         return Finding(Verdict.PASS, ("nobody asked for anything of it",))
     both = compare(seen, tenant, old, new, True)
     if both.verdict is Verdict.PASS and seen.alike is None:
