--- a/quincepier/tenancy/growth.py
+++ b/quincepier/tenancy/growth.py
@@ -59,6 +59,7 @@
     usual = max(every - extra, 1.0)
     if part and extra > SETTLED_PART * usual:
         return part, f"{extra:.0f} fills above {usual:.0f} usual ones"
-    room = FILLS_PART * usual * PARTS / (asked * max(1 - rate, 0.01))
+    # At first as if nothing of it were asked twice; later an eighth more than what was borne before.
+    room = max(FILLS_PART * usual * PARTS / (asked * max(1 - rate, 0.01)), part / 8)
     step = next((s for s in STEPS if s <= room), STEPS[-1])
     return min(part + step, most), f"room for {room:.1f} parts"
