--- a/quincepier/lab/moves.py
+++ b/quincepier/lab/moves.py
@@ -132,7 +132,8 @@
         took = (self.done_at - begin) / SECOND if self.done_at >= 0 else -1.0
         worth, others = (s[f"{who} in time"] / max(s[who], 1) for who in ("acme", "other"))
         return Outcome(
-            worth, others, most / usual, took, move.step.name if move else "", self.gaps, self.repeats, move.why if move else "",
+            worth, others, most / usual, took, move.step.name if move else "",
+            self.gaps, self.repeats, move.why if move else "",
         )  # fmt: skip
 
     def begin(self) -> None:
