--- a/quincepier/tenancy/homes.py
+++ b/quincepier/tenancy/homes.py
@@ -10,6 +10,7 @@
 from quincepier.interface import Effect
 from quincepier.rules import Move, MoveStep, RuleVersion
 from quincepier.rules.version import PARTS
+from quincepier.tenancy.errors import TenancyError
 from quincepier.tenancy.known import Tenants
 
 
@@ -44,6 +45,7 @@
     `number_of`: a host id's number, None for one that is not known. `listed`: numbers of the caches and of
     the parents that are listed and ready. `unsure`: no version is known, or the lease ended over the notice
     ago, so a move may have begun that this front does not know. Classes by number, as in the settings.
+    TenancyError where a version can't be used.
     """
 
     def __init__(
@@ -59,6 +61,9 @@
         self.version, self.cautious, self.unsure = version, cautious, unsure
         self._number_of, self._tenants, self._listed = number_of, tenants, listed
         self._once = [c.effect is not Effect.SAFE for c in classes]
+        caches = [host for shard in version.shards for host in shard.caches]
+        if len(caches) > len(set(caches)):  # keys of two homes would meet there, and neither be compared
+            raise TenancyError("a cache is in two shards", f"rule version {version.number}")
         moves = {n: version.move_of(name) for n, name in enumerate(tenants.names) if n}
         self._moves = {n: m for n, m in moves.items() if m is not None and m.open}
         self._shards = [version.home_of(name) if n else "" for n, name in enumerate(tenants.names)]
--- a/quincepier/tenancy/steps.py
+++ b/quincepier/tenancy/steps.py
@@ -18,6 +18,7 @@
 from quincepier.tenancy.verify import Verdict, compare, in_same_seconds, judge, unharmed
 
 CLOSING_MOST = 500 * clock.MS  # agreed for so long and not in force: repeats run at the old home again
+CLOSED_MOST = 32  # moves that are over and that no wish names, kept
 VERIFY_LEAST = 10 * clock.SECOND  # also the rest between two tries of closing
 Step = MoveStep
 
@@ -26,9 +27,11 @@
     """What tenants want changed by now, or None. Called by the leader, each turn, with its own file."""
     lines = {line.id: line for line in wishes.section.moves}
     homes, moves, why = list(version.homes), list[Move](), list[str]()
+    # Kept though the wish is gone: another leader's file may still have it, and it is not to begin again.
+    gone = [m.wish for m in version.moves if not m.open and m.wish not in lines][:-CLOSED_MOST]
     for move in version.moves:
         if not move.open:
-            if move.wish in lines:  # kept while the wish stands there, so that it does not begin again
+            if move.wish not in gone:
                 moves.append(move)
             continue
         line = lines.get(move.wish)
