--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -19,6 +19,7 @@
     "agreement": "quincepier.net.fleet.section:AgreementSection",
     "members": "quincepier.membership.section:MembersSection",
     "maintenance": "quincepier.maintenance.section:MaintenanceSection",
+    "tenants": "quincepier.tenancy.section:TenantsSection",
 }
 
 
