--- /dev/null
+++ b/quincepier/consistency/witness.py
@@ -0,0 +1,94 @@
+"""Real decisions witnessed: of a share of the requests each attempt, the rule's choice and the reason.
+
+What is kept is bounded: reasons by kind, the last records, the last breaches. It changes nothing of the
+module.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+import xxhash
+
+from quincepier import interface as io
+from quincepier.consistency.decision import PLAIN, Arithmetic, Line, Memory
+from quincepier.consistency.explain import Account, Before, Reason, Router, account, order
+
+RECORDS_KEPT, BREACHES_KEPT, REQUESTS_KEPT = 256, 64, 4096
+
+
+class Witness:
+    """Set as `Router.witness`. `tell` hears of each breach, once."""
+
+    def __init__(
+        self,
+        router: Router,
+        share: float,
+        seed: int,
+        tell: Callable[[Account], None] | None = None,
+        homes: Callable[[io.RequestCame], io.Home | None] | None = None,
+        how: Arithmetic = PLAIN,
+    ) -> None:
+        self.router, self.tell, self.homes, self.how = router, tell, homes, how
+        self.below, self.seed = int(share * 2**64), seed
+        self.counts = Counter[Reason]()
+        self.records: deque[Account] = deque(maxlen=RECORDS_KEPT)
+        self.breaches: deque[Account] = deque(maxlen=BREACHES_KEPT)
+        self.before: OrderedDict[int, Before] = OrderedDict()
+
+    def __call__(self, e: io.RequestCame, node: Any, source: Any) -> None:
+        """An attempt that is about to be made; machines as the module's nodes, or by number."""
+        if xxhash.xxh3_64_intdigest(e.request.to_bytes(8, "little"), self.seed) >= self.below:
+            return
+        at = node if isinstance(node, int) else node.machine.cache
+        by = -1 if source is None else source if isinstance(source, int) else source.machine.cache
+        home = self.homes(e) if self.homes is not None else None
+        seen = account(self.router, e, at, by, self.before.get(e.request), home, self.how)
+        self.before[e.request] = at, by
+        self.before.move_to_end(e.request)
+        if len(self.before) > REQUESTS_KEPT:
+            self.before.popitem(last=False)
+        self.counts[seen.reason] += 1
+        self.records.append(seen)
+        if seen.reason is Reason.BREACH:
+            self.breaches.append(seen)
+            if self.tell is not None:
+                self.tell(seen)
+
+
+def stale_ranks(router: Router, most: int = 64, how: Arithmetic = PLAIN) -> int:
+    """Of the last `most` rankings in the module's memory, how many are not what its list gives now."""
+    kept = list(router.ranks.items())[-most:]
+    stale = 0
+    for key, ranked in kept:
+        numbers = [n.machine.cache for n in ranked]
+        sized = router.s.sizes_compare
+        stale += all(
+            order(group, key, sized, True, how) != numbers for group in (router.edges, router.parents)
+        )
+    return stale
+
+
+def module_memory(router: Router, lines: Callable[[], Sequence[Line]]) -> Memory:
+    """What the module itself ranks, for the digests: of its own zone and the parents, while no machine has a
+    step of pace and its list is the one that the round goes by; else None, and the rule is computed alone."""
+
+    def memory(zone: int, key: int) -> Sequence[int] | None:
+        group = router.parents if zone < 0 else router.edges if zone == router.s.zone else None
+        if not group or any(n.step for n in group):
+            return None
+        upper = (router.s.parent_kind, router.s.origin_kind)
+        wanted = _of(lines(), zone, upper)
+        if {(n.machine.cache, n.machine.size) for n in group} != wanted:
+            return None
+        return [n.machine.cache for n in router.rank(group, key)]
+
+    return memory
+
+
+def _of(lines: Iterable[Line], zone: int, upper: tuple[int, int]) -> set[tuple[int, float]]:
+    if zone < 0:
+        return {(line.number, line.size) for line in lines if line.kind == upper[0]}
+    return {(line.number, line.size) for line in lines if line.zone == zone and line.kind not in upper}
