--- a/quincepier/consistency/explain.py
+++ b/quincepier/consistency/explain.py
@@ -175,7 +175,12 @@
         return why_not(self.router, self.router.nodes[number], self.avoided)
 
     def usable(self, *numbers: int) -> bool:
-        return not any(self.why_not(n) for n in numbers if n >= 0)
+        """Of machines that were chosen; a cold one's budget must have been looked at in this very turn."""
+        return not any(self.why_not(n) or self._unlooked(n) for n in numbers if n >= 0)
+
+    def _unlooked(self, number: int) -> bool:
+        node = self.router.nodes[number]
+        return self.router.cold(node)[1] < math.inf and node.paid != self.router.now
 
     def straight(self, node: int, source: int) -> Reason:
         first = next(n for n in self.origins if self.why_not(n) is None)
--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -15,8 +15,8 @@
     "log": "quincepier.operator.schema:LogSection",
     "addresses": "quincepier.addresses.section:AddressesSection",
     "clients": "quincepier.clients.section:ClientsSection",
-    "consistency": "quincepier.consistency.section:ConsistencySection",
     "state": "quincepier.state.section:StateSection",
+    "consistency": "quincepier.consistency.section:ConsistencySection",
 }
 
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -16,6 +16,7 @@
 
 from quincepier.addresses import Family
 from quincepier.addresses.section import AddressesSection
+from quincepier.consistency import ConsistencySection
 from quincepier.lab.scripted import Machine
 from quincepier.operator import SECTIONS, LogSection, OperatorError, load, read
 from quincepier.state.section import StateSection
@@ -34,9 +35,11 @@
 def test_the_example_is_good_and_its_defaults_are_those_of_the_section() -> None:
     file = load(str(EXAMPLE))
     section, log = file.get(AddressesSection), file.get(LogSection)
-    assert file.names == ["log", "addresses", "clients", "state"] and section is not None and log is not None
+    assert file.names == list(SECTIONS)
+    assert section is not None and log is not None
     state = file.get(StateSection)
     assert state == StateSection(folder="/var/lib/quincepier/front-1")
+    assert file.get(ConsistencySection) == ConsistencySection()
     assert [a.family for a in section.machines["s-1"]] == [Family.IP6, Family.UNIX]
     assert section.limits == AddressesSection().limits and log.format == "json"
 
