--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -20,6 +20,7 @@
     "members": "quincepier.membership.section:MembersSection",
     "maintenance": "quincepier.maintenance.section:MaintenanceSection",
     "tenants": "quincepier.tenancy.section:TenantsSection",
+    "consistency": "quincepier.consistency.section:ConsistencySection",
 }
 
 
