--- /dev/null
+++ b/quincepier/policy/parts.py
@@ -0,0 +1,82 @@
+"""What a front keeps of machines, requests, attempts and itself. It never chooses, sends or refuses."""
+
+import math
+import random
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+
+from quincepier import interface as io
+from quincepier.fading import Pace
+from quincepier.keys import mix
+from quincepier.recovery import Return
+
+MS, SECOND = 1_000_000, 1_000_000_000  # times are in nanoseconds
+PACE = 4 * SECOND, 1.5  # signs of how slow one is count half after; beside so many of it as usual
+PACE_EASY, BORNE_FADE = 1.3, 15 * SECOND  # times the best's, to keep its keys; served work counts half in
+HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
+BOUND_START, BOUND_LEAST, BOUND_EACH = 16, 12, 4  # fills in flight (design); at least a zone's, and each's
+STOOD = 2 * SECOND  # a standstill of the front itself after which it finds all anew
+EXTRA_FIRST = 8.0  # had at the start; where all fronts return at once, saved ones would come at once too
+DEADLINE, HOLD, ROUND, RELIST, WATCH = range(5)  # kinds of timer, in the lowest bits of a token
+
+
+class Node:
+    def __init__(self, machine: io.Machine) -> None:
+        self.machine, self.cold_at = machine, machine.up_since  # its last start, as told or as guessed
+        self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
+        self.denied: Node | None = None  # the cache by which it gave nothing last
+        self.suspect, self.trial_at, self.wait, self.leaving = False, 0, 0, 0  # when what was recalled ends
+        self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
+        self.pace, self.step = Pace(*PACE), 0  # its part of the keys is halved by two steps
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.recent: deque[int] = deque(maxlen=HOT_OF)  # objects last asked for
+
+
+class Request:
+    def __init__(self, e: io.RequestCame, cls: io.RequestClass, tier: int, now: int, kb: float) -> None:
+        self.e, self.cls, self.tier, self.came = e, cls, tier, now
+        self.open: dict[int, Attempt] = {}
+        self.deadline, self.sent, self.held, self.begun = now + e.time_left, 0, False, False
+        self.first_ran: tuple[int, io.Machine] | None = None  # when and where one first may have run
+        self.avoid: list[Node] = []
+        self.key = mix(e.object, e.part)
+        self.told = e.size_kb / kb * SECOND if kb else 0.0  # its sending time, where sizes are told
+
+
+class Attempt:
+    def __init__(self, req: Request, no: int, at: int, node: Node, source: Node | None) -> None:
+        self.req, self.no, self.at, self.node, self.source = req, no, at, node, source
+        self.fill, self.look, self.held, self.work = False, False, False, 0.0  # as booked to cold machines
+
+
+class State:  # a front's own; each mechanism is one more layer over it, in its own file
+    pace_easy, borne_fade = PACE_EASY, BORNE_FADE  # for who keeps it over a start
+
+    def __init__(self, settings: io.Settings, seed: int, now: int) -> None:
+        self.s, self.now, self.random = settings, now, random.Random(seed)
+        worths = sorted({c.worth for c in settings.classes if not c.never_kept}, reverse=True)
+        place = {worth: math.ceil(2 * n / max(len(worths) - 1, 1)) for n, worth in enumerate(worths)}
+        self.tiers = [place.get(c.worth, 0) for c in settings.classes]
+        self.nodes, self.ranks = dict[int, Node](), dict[int, list[Node]]()
+        self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
+        self.requests, self.attempts = dict[int, Request](), dict[tuple[int, int], Attempt]()
+        self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
+        self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
+        self.samples, self.fetch = Counter[int](), Pace(*PACE)  # answers of a class; all fills, by the link
+        self.usual = dict[tuple[int, bool, bool], tuple[float, int, float, int]]()  # see compare
+        self.began = self.born = now  # this front, and the work that its memory is of; see weigh
+        self.sizes, self.borne = dict[int, float](), dict[int, tuple[float, int]]()  # by kind
+        self.held: list[OrderedDict[int, deque[Request]]] = [OrderedDict() for _ in range(3)]
+        self.depth, self.credit, self.released = [0] * 3, [0.0] * 3, [now] * 3
+        self.mates = max(*settings.fronts_by_zone[settings.zone :][:1], 0, 1)  # fronts of this zone, with us
+        self.least = max(BOUND_LEAST // self.mates, BOUND_EACH)
+        self.bound, self.fills, self.good, self.bad = BOUND_START, 0, 0, 0
+        self.rest, self.fill_at, self.link, self.link_at = 0.0, now, 0.0, 0  # what fills wait for; see full
+        self.link_no = [*settings.reports, "link"].index("link")  # which value of a load report tells of it
+        self.asked, self.heard, self.met = set[int](), Counter[int](), False  # classes; see ended
+        self.extra, self.logs, self.awake, self.watching, self.watched = EXTRA_FIRST, 0, False, False, now
+        self.back, self.out = Return(now), list[io.Action]()
+        self.lapses = list[tuple[int, Callable[[], None]]]()  # of what was recalled
+
+    def timer_in(self, wait: float, kind: int, about: int = 0) -> None:
+        self.out.append(io.SetTimer(int(wait), about << 3 | kind, about if kind <= HOLD else -1))
