--- a/quincepier/operator/schema.py
+++ b/quincepier/operator/schema.py
@@ -18,6 +18,11 @@
     "state": "quincepier.state.section:StateSection",
     "members": "quincepier.membership.section:MembersSection",
     "maintenance": "quincepier.maintenance.section:MaintenanceSection",
+    "agreement": "quincepier.net.fleet.section:AgreementSection",
+    "members": "quincepier.membership.section:MembersSection",
+    "maintenance": "quincepier.maintenance.section:MaintenanceSection",
+    "tenants": "quincepier.tenancy.section:TenantsSection",
+    "consistency": "quincepier.consistency.section:ConsistencySection",
 }
 
 
