--- a/bench/alike.py
+++ b/bench/alike.py
@@ -27,7 +27,8 @@
     front = net.fronts[0]
     print(
         f"{count} fronts: sent {each:.1f} B/s a front, {net.bytes['f0'] / 20:.0f} B/s by who collects; "
-        f"a round costs {cpu:.1f} ms of CPU a front (99th {told:.1f}), {net.cpu['f0'] / 2 / MS:.1f} at who collects; "
+        f"a round costs {cpu:.1f} ms of CPU a front (99th {told:.1f}), "
+        f"{net.cpu['f0'] / 2 / MS:.1f} at who collects; "
         f"took {front.checker.took / MS:.0f} ms; findings {len(net.findings)}",
         flush=True,
     )
--- a/quincepier/lab/moves.py
+++ b/quincepier/lab/moves.py
@@ -176,7 +176,7 @@
         ages = {n: self.now - at for n, at in self.force.items() if n <= number}
         seen = Seen(
             self.now, tuple(self.names), reports, whole, number, self.now - self.force.get(number, self.now),
-            self.machines, (), "", True, {}, ages,
+            self.machines, (), "", True, {}, None, ages,
             LONG if self.found else self.now - self.agreed_at,
         )  # fmt: skip
         change = advance(self.version, self.wishes, seen)
--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -143,7 +143,8 @@
             changes = changes[:1]
             version = apply(base, self.term, tuple(changes))
         self.ahead, self.proposed, self.proposed_at = 0, version.number, now
-        self.why = {version.number: "; ".join(c.why for c in changes) or "the first, or numbers go on above the fronts'"}
+        why = "; ".join(c.why for c in changes) or "the first, or numbers go on above the fronts'"
+        self.why = {version.number: why}
         self.checks.count("versions proposed")
         self.seat.propose(encode(version))
 
--- a/tests/tenancykit.py
+++ b/tests/tenancykit.py
@@ -128,6 +128,7 @@
                 "",
                 True,
                 {},
+                None,
                 ages,
                 LONG * late,
             )
