--- a/quincepier/policy.py
+++ b/quincepier/policy.py
@@ -24,7 +24,7 @@
 BOUND_LEAST, BOUND_EACH = 12, 4  # halved: of a zone's fronts together, but of each so many, which add up
 BAD_SHARE = 0.25  # the bound steps after a bound's worth of fills: down if more than this part went badly
 REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 2 * SECOND, 0.3  # between fills, doubled by a refused one
-GATE = 0.85  # share of the bound from which the lowest tier is shed (design)
+GATE, GATE_HELD = 0.85, 2  # share of the bound from which the lowest tier is shed (design); so many are held
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
 PACE_FADE, PACE_PRIOR = 4 * SECOND, 1.5  # signs of how slow a machine is count half after; of it as usual
@@ -319,7 +319,8 @@
         if origin is not None and not kept:  # classes never kept pass untouched
             self.send(req, origin, None)
         elif waits and fill and req.tier == 2 and self.fills >= GATE * self.bound:
-            self.shed(req)
+            # a few wait with the others: what is never filled no cache holds, and all of it would starve
+            self.hold(req) if any(self.depth) and self.depth[2] < GATE_HELD else self.shed(req)
         elif waits and (fill and (self.full(req) or any(self.depth)) or (node and self.crowded(node, req))):
             self.hold(req)
         elif target := node or (source if self.s.direct else None):  # no cache to ask: straight to the parent
