--- a/quincepier/policy/attempts.py
+++ b/quincepier/policy/attempts.py
@@ -34,6 +34,8 @@
             wait, by, age = req.deadline - now, source.machine.cache, self.oldest(req, look)
             join, renew = self.s.joins and not look, req.cls.fresh > 0 and not look
             self.out.append(io.Fetch(e.request, node.machine.cache, wait, by, 1, age, join, renew, only))
+        if self.witness is not None:
+            self.witness(e, node, attempt.source)
         self.wake()
 
     def harmless(self, req: Request, node: Node) -> bool:  # rule two: whether what ran allows it here
--- a/quincepier/policy/fills.py
+++ b/quincepier/policy/fills.py
@@ -47,7 +47,7 @@
         self.wake()
 
     def shed(self, req: Request, held: bool = False) -> None:  # past the gate: what the cache holds
-        node, two = self.place(req), self.rank(self.edges, req.key)[: 2 * held]
+        node, two = self.place(req), self.rank(self.edges, req.key, req.home)[: 2 * held]
         spare = next((n for n in two if self.usable(n, req) and not self.crowded(n, req)), None)
         if spare is not None and self.fills < SPARE * self.bound and not self.full(req):
             self.send(req, spare, self.source(req) or spare)
--- a/quincepier/policy/parts.py
+++ b/quincepier/policy/parts.py
@@ -33,12 +33,12 @@
 
 
 class Request:
-    def __init__(self, e: io.RequestCame, cls: io.RequestClass, tier: int, now: int, kb: float) -> None:
-        self.e, self.cls, self.tier, self.came = e, cls, tier, now
+    def __init__(self, e: io.RequestCame, s: io.Settings, tier: int, now: int, home: io.Home | None) -> None:
+        self.e, self.cls, self.tier, self.came, kb = e, s.classes[e.cls], tier, now, s.client_kb_per_s
         self.open: dict[int, Attempt] = {}
         self.deadline, self.sent, self.held, self.begun = now + e.time_left, 0, False, False
         self.first_ran: tuple[int, io.Machine] | None = None  # when and where one first may have run
-        self.avoid: list[Node] = []
+        self.avoid, self.home = list[Node](), home  # where its key lives; None: on any machine
         self.key = mix(e.object, e.part)
         self.told = e.size_kb / kb * SECOND if kb else 0.0  # its sending time, where sizes are told
 
@@ -57,7 +57,9 @@
         worths = sorted({c.worth for c in settings.classes if not c.never_kept}, reverse=True)
         place = {worth: math.ceil(2 * n / max(len(worths) - 1, 1)) for n, worth in enumerate(worths)}
         self.tiers = [place.get(c.worth, 0) for c in settings.classes]
-        self.nodes, self.ranks = dict[int, Node](), dict[int, list[Node]]()
+        self.homes: Callable[[io.RequestCame], io.Home | None] | None = None  # a shell's; asked once each
+        self.witness: Callable[[io.RequestCame, Node, Node | None], None] | None = None  # told of attempts
+        self.nodes, self.ranks = dict[int, Node](), dict[int | tuple[int, int], list[Node]]()
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
         self.requests, self.attempts = dict[int, Request](), dict[tuple[int, int], Attempt]()
         self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
--- a/quincepier/policy/placement.py
+++ b/quincepier/policy/placement.py
@@ -3,7 +3,7 @@
 import math
 from itertools import islice
 
-from quincepier.interface import CacheState, Follow, ListNews, ListScope, Log
+from quincepier.interface import CacheState, Follow, Home, ListNews, ListScope, Log
 from quincepier.keys import MEMORY_MOST, mix
 from quincepier.policy.parts import HOT_OF, HOT_SHARE, PACE_EASY, RELIST, SECOND, Node, Request
 from quincepier.policy.trust import Trust
@@ -40,14 +40,18 @@
             self.edges = [n for n in nodes if n.machine.kind not in upper]
         self.out += map(Log, self.back.listed(self.now))
 
-    def rank(self, nodes: list[Node], key: int) -> list[Node]:
-        if key not in self.ranks:  # kept until the list changes: a held request is looked at often
+    def rank(self, nodes: list[Node], key: int, home: Home | None = None) -> list[Node]:
+        at = key if home is None else (key, home.name)
+        if at not in self.ranks:  # kept until the list changes: a held request is looked at often
             self.ranks = self.ranks if len(self.ranks) < MEMORY_MOST else {}
             weigh = self.s.sizes_compare and all(n.machine.size > 0 for n in nodes)
             parts = {n: (n.machine.size if weigh else 1.0) / 2 ** (n.step / 2) for n in nodes}
+            if home is not None:  # of all listed the home's, each by the draw that it always has
+                names = home.parents if nodes is self.parents else home.caches
+                nodes = [n for n in nodes if n.machine.cache in names]
             draws = {n: -math.log((mix(key, n.machine.cache) + 1) / 2**64) / parts[n] for n in nodes}
-            self.ranks[key] = sorted(nodes, key=draws.__getitem__)  # each first for a part by its size
-        return self.ranks[key]
+            self.ranks[at] = sorted(nodes, key=draws.__getitem__)  # each first for a part by its size
+        return self.ranks[at]
 
     def reweigh(self) -> None:  # a slow one keeps its part by the square of its pace
         for group in (self.edges, self.parents):
@@ -62,12 +66,12 @@
         return ready and (not node.suspect or self.now >= node.trial_at) and self.room(node)
 
     def place(self, req: Request) -> Node | None:  # the first by hash; for a hot object the idler of two
-        good = list(islice((n for n in self.rank(self.edges, req.key) if self.usable(n, req)), 2))
+        good = list(islice((n for n in self.rank(self.edges, req.key, req.home) if self.usable(n, req)), 2))
         hot = len(good) > 1 and good[0].recent.count(req.e.object) > HOT_SHARE * HOT_OF
         return min(good, key=lambda n: len(n.out)) if hot else good[0] if good else None
 
     def source(self, req: Request) -> Node | None:  # by hash over all listed, else the origin
-        ranked = self.rank(self.parents, mix(req.e.object)) + self.origins
+        ranked = self.rank(self.parents, mix(req.e.object), req.home) + self.origins
         return next((n for n in ranked if self.usable(n, req)), None)
 
     def crowded(self, node: Node, req: Request) -> bool:  # whether one more of this class would come late
--- a/quincepier/policy/router.py
+++ b/quincepier/policy/router.py
@@ -48,10 +48,14 @@
             self.out.append(io.Refuse(e.request, self.advice()))
             self.out += map(io.Log, self.back.over(self.now, cls.worth, False))
             return
-        req = self.requests[e.request] = Request(e, cls, tier, self.now, self.s.client_kb_per_s)
+        home = self.homes(e) if self.homes is not None else None
+        req = self.requests[e.request] = Request(e, self.s, tier, self.now, home)
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_SHARE)
         self.timer_in(e.time_left - self.s.step, DEADLINE, e.request)
-        self.route(req)
+        if home is not None and home.closed and cls.effect is not io.Effect.SAFE:
+            self.give_up(req)
+        else:
+            self.route(req)
 
     def ended(self, e: io.AttemptEnded) -> None:
         if (attempt := self.attempts.pop((e.request, e.attempt), None)) is None:
--- /dev/null
+++ b/tests/test_policy_homes.py
@@ -0,0 +1,262 @@
+"""Placement over homes: a request whose key is at home somewhere goes nowhere else, and none means anywhere.
+
+Each rule's test fails with the mutant of that rule beside it (the last test).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from quincepier import interface as io
+from quincepier.interface import CacheState, Effect, Ending, ListScope, Note
+from quincepier.policy import Attempt, Node, Request, Router
+from tests.rig import (
+    CACHES,
+    PARENTS,
+    SECOND,
+    Bench,
+    attempts,
+    machine,
+    make_class,
+    make_settings,
+    refused,
+)
+
+KEYED = (make_class(), make_class(effect=Effect.KEYED), make_class(effect=Effect.UNSAFE))
+
+
+def home(
+    name: int = 1, caches: tuple[int, ...] = CACHES[:2], parents: tuple[int, ...] = PARENTS[:1], **more: Any
+) -> io.Home:
+    return io.Home(name, frozenset(caches), frozenset(parents), **more)
+
+
+def homed(found: Callable[[io.RequestCame], io.Home | None], **changes: Any) -> Bench:
+    bench = Bench(make_settings(classes=KEYED, **changes))
+    bench.router.homes = found
+    return bench
+
+
+def asked(bench: Bench, count: int = 60, first: int = 0) -> list[tuple[int, int]]:
+    """Cache and source of each request's attempt, by its object; each is answered."""
+    found = list[tuple[int, int]]()
+    for n in range(first, first + count):
+        (sent,) = attempts(bench.ask(n, obj=n % 60))
+        found.append((sent.cache, sent.source if isinstance(sent, io.Fetch) else 0))
+        bench.end(sent, Ending.OK, Note.FILLED)
+    return found
+
+
+def only_machines_of_the_home_are_asked() -> None:
+    got = asked(homed(lambda e: home()))
+    assert {cache for cache, _ in got} == set(CACHES[:2]) and {source for _, source in got} == {PARENTS[0]}
+
+
+def a_machine_keeps_the_keys_that_it_has_without_homes() -> None:
+    """Else a first rule version alone would move every copy."""
+    plain, inside = asked(Bench(make_settings(classes=KEYED))), asked(homed(lambda e: home()))
+    kept = [(a, b) for (a, _), (b, _) in zip(plain, inside, strict=True) if a in CACHES[:2]]
+    assert len(kept) > 20 and all(a == b for a, b in kept)
+
+
+def one_object_of_two_homes_lies_in_each_by_itself() -> None:
+    """Hash orders are kept; one kept for a home must not serve another."""
+    bench = homed(lambda e: home(e.tenant, CACHES[e.tenant : e.tenant + 1]))
+    for n in range(6):
+        (sent,) = attempts(bench.ask(n, obj=5, tenant=n % 3))
+        assert sent.cache == CACHES[n % 3]
+        bench.end(sent, Ending.OK, Note.HIT)
+
+
+def a_closed_home_refuses_what_may_not_simply_be_repeated() -> None:
+    bench = homed(lambda e: home(closed=True))
+    assert len(attempts(bench.ask(1, cls=0))) == 1
+    for n in (1, 2):
+        done = bench.ask(10 + n, cls=n)
+        assert attempts(done) == [] and refused(done) == [10 + n]
+        assert 10 + n not in bench.router.requests
+    bench.router.homes = lambda e: home()
+    assert len(attempts(bench.ask(20, cls=2))) == 1
+
+
+def a_home_is_asked_for_once_and_kept_over_further_attempts() -> None:
+    """A version that changes between two attempts must not send one request to two homes."""
+    calls = list[int]()
+
+    def found(e: io.RequestCame) -> io.Home:
+        calls.append(e.request)
+        return home(len(calls), CACHES[:2] if len(calls) == 1 else CACHES[2:])
+
+    bench = homed(found)
+    (sent,) = attempts(bench.ask(1))
+    (again,) = attempts(bench.end(sent, Ending.CONNECT_FAILED))
+    assert {sent.cache, again.cache} == set(CACHES[:2]) and calls == [1]
+
+
+def each_attempt_has_its_witness() -> None:
+    bench, seen = homed(lambda e: None), list[tuple[int, int, int | None]]()
+
+    def witness(e: io.RequestCame, node: Node, source: Node | None) -> None:
+        seen.append((e.request, node.machine.cache, source.machine.cache if source else None))
+
+    bench.router.witness = witness
+    (sent,) = attempts(bench.ask(1))
+    (again,) = attempts(bench.end(sent, Ending.CONNECT_FAILED))
+    assert isinstance(sent, io.Fetch) and isinstance(again, io.Fetch)
+    assert seen == [(1, a.cache, a.source) for a in (sent, again)]
+
+
+def a_hold_in_a_home_ends_at_its_next_machine() -> None:
+    """What is shed after a hold looks at the next by hash: of the home, not of all that are listed."""
+    bench = homed(lambda e: None)
+    (sent,) = attempts(bench.ask(1, obj=7))
+    req = bench.router.requests[1]
+    order = [n.machine.cache for n in bench.router.rank(bench.router.edges, req.key)]
+    bench.end(sent, Ending.OK, Note.HIT)
+    first = bench.router.nodes[order[0]]
+    first.out = {(5000 + n, 0): Attempt(req, 0, bench.now, first, None) for n in range(200)}
+    bench.router.homes = lambda e: home(caches=(order[0], order[2]))
+    assert attempts(bench.ask(2, obj=7)) == []
+    assert [a.cache for a in attempts(bench.wait(2 * SECOND))] == [order[2]]
+
+
+def without_a_usable_cache_a_home_is_served_straight_from_its_parent() -> None:
+    """As where no cache at all is usable; with nothing straight it is refused."""
+    drains = tuple(replace(machine(c), state=CacheState.DRAINING) for c in CACHES[:2])
+    for direct in (True, False):
+        bench = homed(lambda e: home(), direct=direct)
+        bench.give(io.ListNews(ListScope.CHANGES, drains))
+        done = bench.ask(1)
+        assert [a.cache for a in attempts(done)] == [PARENTS[0]] * direct
+        assert refused(done) == [1] * (not direct)
+
+
+def the_list_moves_keys_within_a_home() -> None:
+    """Orders are made anew as the list changes: what joins a home is used, what is gone is not."""
+    bench = homed(lambda e: home(caches=(*CACHES[:2], 104)))
+    asked(bench)
+    gone = replace(machine(CACHES[0]), state=CacheState.GONE)
+    bench.give(io.ListNews(ListScope.CHANGES, (gone, machine(104))))
+    assert {cache for cache, _ in asked(bench, first=100)} == {CACHES[1], 104}
+
+
+STORIES = (
+    only_machines_of_the_home_are_asked,
+    a_machine_keeps_the_keys_that_it_has_without_homes,
+    one_object_of_two_homes_lies_in_each_by_itself,
+    a_closed_home_refuses_what_may_not_simply_be_repeated,
+    a_home_is_asked_for_once_and_kept_over_further_attempts,
+    each_attempt_has_its_witness,
+    a_hold_in_a_home_ends_at_its_next_machine,
+    without_a_usable_cache_a_home_is_served_straight_from_its_parent,
+    the_list_moves_keys_within_a_home,
+)
+
+
+@pytest.mark.parametrize("story", STORIES)
+def test_homes(story: Callable[[], None]) -> None:
+    story()
+
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+rank, came, send, listed = Router.rank, Router.came, Router.send, Router.listed
+
+
+def ranked(change: Callable[[Router, list[Node], int, io.Home | None], list[Node]]) -> Patch:
+    return lambda patch: patch.setattr(Router, "rank", lambda s, n, k, h=None: change(s, n, k, h))
+
+
+def parents_of_no_home(patch: pytest.MonkeyPatch) -> None:
+    ranked(lambda s, n, k, h: rank(s, n, k, None if n is s.parents else h))(patch)
+
+
+def drawn_by_home(patch: pytest.MonkeyPatch) -> None:
+    ranked(lambda s, n, k, h: rank(s, n, k if h is None else k ^ 99, h))(patch)
+
+
+def one_order_for_all_homes(patch: pytest.MonkeyPatch) -> None:
+    ranked(lambda s, n, k, h: rank(s, n, k, h and replace(h, name=1)))(patch)
+
+
+def never_closed(patch: pytest.MonkeyPatch) -> None:
+    def open_to_all(self: Router, e: io.RequestCame) -> None:
+        found = self.homes
+        self.homes = found and (lambda e: (h := found(e)) and replace(h, closed=False))
+        came(self, e)
+        self.homes = found
+
+    patch.setattr(Router, "came", open_to_all)
+
+
+def asked_again(patch: pytest.MonkeyPatch) -> None:
+    def anew(self: Router, req: Request, *more: Any) -> None:
+        req.home = self.homes(req.e) if self.homes else None
+        send(self, req, *more)
+
+    patch.setattr(Router, "send", anew)
+
+
+def first_witness_alone(patch: pytest.MonkeyPatch) -> None:
+    def once(self: Router, req: Request, *more: Any) -> None:
+        self.witness = None if req.sent else self.witness
+        send(self, req, *more)
+
+    patch.setattr(Router, "send", once)
+
+
+def hold_ends_anywhere(patch: pytest.MonkeyPatch) -> None:
+    shed = Router.shed
+
+    def anywhere(self: Router, req: Request, held: bool = False) -> None:
+        req.home = None
+        shed(self, req, held)
+
+    patch.setattr(Router, "shed", anywhere)
+
+
+def straight_to_any_parent(patch: pytest.MonkeyPatch) -> None:
+    """A home with no cache left falls back to all machines."""
+
+    def fallen(s: Router, n: list[Node], k: int, h: io.Home | None) -> list[Node]:
+        usable = h and any(
+            m.machine.cache in h.caches and m.machine.state is CacheState.READY for m in s.edges
+        )
+        return rank(s, n, k, h if usable else None)
+
+    ranked(fallen)(patch)
+
+
+def orders_outlast_the_list(patch: pytest.MonkeyPatch) -> None:
+    def kept(self: Router, news: io.ListNews) -> None:
+        before = self.ranks
+        listed(self, news)
+        self.ranks = before
+
+    patch.setattr(Router, "listed", kept)
+
+
+@pytest.mark.parametrize(
+    ("story", "mutant"),
+    [
+        (STORIES[0], ranked(lambda s, n, k, h: rank(s, n, k))),
+        (STORIES[0], parents_of_no_home),
+        (STORIES[1], drawn_by_home),
+        (STORIES[2], one_order_for_all_homes),
+        (STORIES[3], never_closed),
+        (STORIES[4], asked_again),
+        (STORIES[5], first_witness_alone),
+        (STORIES[6], hold_ends_anywhere),
+        (STORIES[7], straight_to_any_parent),
+        (STORIES[8], orders_outlast_the_list),
+    ],
+)
+def test_each_mutant_fails_its_story(
+    story: Callable[[], None], mutant: Patch, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    mutant(monkeypatch)
+    with pytest.raises(AssertionError):
+        story()
