--- a/quincepier/lab/fleet/relay.py
+++ b/quincepier/lab/fleet/relay.py
@@ -25,6 +25,7 @@
 
 HELD_MOST = 1 << 20  # bytes kept of a direction that is held; then it is not read on
 CLIENTS, CACHES, LOG, PEERS = "clients", "caches", "log", "peers"
+PORT_TRIES = 4
 OPEN, REFUSED, DEAF = "open", "refused", "deaf"  # of new connections
 Key = tuple[str, int, int]
 
@@ -281,6 +282,15 @@
                         local_addr=(pair.address, self.ports[PEERS]),
                     )
 
+    def close(self) -> None:
+        """Before anybody was told of its ports."""
+        for pair in self.pairs.values():
+            for one in (pair.server, pair.sock):
+                if one is not None:
+                    one.close()
+        for transport in self.datagrams.values():
+            transport.close()
+
     async def _pair(
         self, key: Key, address: str, target: tuple[str, int], source: str | None, up: bool = True
     ) -> Pair:
@@ -355,12 +365,17 @@
 async def main(path: str) -> None:
     plan = msgspec.json.decode(Path(path).read_bytes(), type=Plan)
     notes = child.Notes(Path(plan.folder) / f"notes-relay-{plan.paths[0]}")
-    net, order = Net(plan), asyncio.Queue[dict[str, Any]]()
-    try:
-        await net.start()
-    except OSError as error:
-        child.tell(fault=f"the relay of {', '.join(plan.paths)} can't listen: {error}")
-        return
+    order = asyncio.Queue[dict[str, Any]]()
+    for left in reversed(range(PORT_TRIES)):
+        net = Net(plan)
+        try:
+            await net.start()
+            break
+        except OSError as error:  # another rig beside this one has that port at one of the pairs
+            net.close()
+            if not left:
+                child.tell(fault=f"the relay of {', '.join(plan.paths)} can't listen: {error}")
+                return
     child.tell(ready=True, ports=net.ports)
 
     async def carry_out() -> None:  # one after the other, in the order they were said
