--- a/quincepier/consensus/replication.py
+++ b/quincepier/consensus/replication.py
@@ -126,8 +126,6 @@
         peer.next = max(peer.next, answer.match + 1)
     elif answer.at >= peer.reset_at:
         peer.reset_at, peer.next = mind.now, max(min(peer.next - 1, answer.match + 1), peer.match + 1)
-        if answer.last == 0 and mind.log.begin == 0:
-            peer.next = 0  # it was never told who the voters are
         send(mind, word.name, word.identity, peer)
 
 
--- a/quincepier/lab/agreement.py
+++ b/quincepier/lab/agreement.py
@@ -89,6 +89,7 @@
                     net.committed(self, action)
                 case Role():
                     net.roles(self, action)
+        net.leases(self)
 
     def synced(self, start: int) -> None:
         """The next write is on disk; where the disk hangs or the process is stopped, later."""
@@ -166,6 +167,13 @@
         if role.leader == seat.name and self.leaders.setdefault(role.term, seat.name) != seat.name:
             raise Breach(f"two leaders of term {role.term}: {self.leaders[role.term]} and {seat.name}")
 
+    def leases(self, seat: Seat) -> None:
+        if seat.voter.lease_until <= self.now:
+            return
+        for other in self.seats.values():
+            if other is not seat and other.alive and other.voter.lease_until > self.now:
+                raise Breach(f"{seat.name} and {other.name} have a lease at once")
+
     def committed(self, seat: Seat, entry: Committed) -> None:
         if self.agreed.setdefault(entry.index, (entry.term, entry.data)) != (entry.term, entry.data):
             raise Breach(f"{seat.name} has another entry {entry.index} than was agreed")
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import pytest
 
-from quincepier.consensus import ConsensusError, Send, Store, Voter
-from quincepier.lab.agreement import MS, SECOND, Seat, VoterNet
+from quincepier.consensus import ConsensusError, Send, Store, Voter, election, replication
+from quincepier.consensus import voters as rosters
+from quincepier.consensus.mind import Mind
+from quincepier.lab.agreement import MS, SECOND, Breach, Seat, VoterNet
 from quincepier.state.voterrecords import Line
 
 
@@ -261,3 +264,60 @@
 def test_whatever_fails_at_once_what_is_agreed_is_one_and_it_goes_on_after(seed: int) -> None:
     net = played(seed)
     assert len(net.agreed) > 3
+
+
+def test_helping_another_while_a_leader_is_heard_makes_two_leases(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One hears the leader no more, the third hears both, and just then the leader hears nobody."""
+
+    def cut_off() -> VoterNet:
+        net, first = led()
+        deaf = others(net, first)[0]
+        net.way, net.cuts = (50 * MS, 50 * MS), {(first.name, deaf.name)}
+        net.run(SECOND)
+        for _ in range(1000):
+            net.run(10 * MS)
+            if deaf.voter.term > first.voter.term:
+                net.cuts |= {(s.name, first.name) for s in others(net, first)}
+        assert net.leader is first
+        return net
+
+    cut_off()
+    plain = election.asked
+
+    def asked(mind: Mind, word: Any, question: Any) -> None:
+        mind.heard_leader -= mind.pace.least
+        plain(mind, word, question)
+
+    monkeypatch.setattr(election, "asked", asked)
+    with pytest.raises(Breach, match="lease at once"):
+        cut_off()
+
+
+def test_an_older_copy_that_is_not_told_off_forgets_what_was_agreed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With the marks of a start the copy is found out; without them it helps to forget."""
+
+    def put_back() -> VoterNet:
+        net, first = led(seed=2)
+        old, third = others(net, first)
+        copy = old.disk
+        net.cuts = {(s.name, third.name) for s in others(net, third)}
+        agreed(net, b"by two", [first, old])
+        old.kill()
+        old.disk = copy
+        net.run(100 * MS)
+        old.start()
+        net.run(SECOND // 2)
+        first.kill()
+        net.cuts = set()
+        net.run(10 * SECOND)
+        if (now := net.leader) is not None:
+            now.propose(b"another")
+        net.run(SECOND)
+        return net
+
+    net = put_back()
+    assert net.leader is None
+    monkeypatch.setattr(rosters, "marked", lambda mind, word: True)
+    monkeypatch.setattr(replication, "appended", lambda mind, word, answer: None)
+    with pytest.raises(Breach):
+        put_back()
