--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -174,6 +174,24 @@
     net.until(lambda: all(s.newest is not None and s.newest.data == b"kept" for s in net.seats.values()))
 
 
+def test_voters_named_anew_are_taken_in_and_out_one_at_a_time() -> None:
+    net, _ = led()
+    agreed(net, b"one")
+    net.names = ("v0", "v1", "v3")
+    net.seats["v3"] = Seat(net, "v3")
+    for name in net.names:  # each is started again with the new file
+        net.seats[name].kill()
+        net.seats[name].start()
+        net.until(lambda: net.leader is not None)
+    net.seats["v2"].kill()  # it still has the old file, and would keep to it where it leads
+    now = [net.seats[name] for name in net.names]
+    net.until(lambda: all(tuple(m.name for m in s.voter.roster) == net.names for s in now))
+    agreed(net, b"two", now)
+    net.seats["v0"].kill()
+    net.until(lambda: net.leader is not None and net.leader.alive)
+    agreed(net, b"three", now[1:])
+
+
 def test_the_first_roster_waits_for_all_that_are_named() -> None:
     net = VoterNet(3, 1)
     for name in net.names[:2]:
