--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -9,6 +9,8 @@
 import msgspec
 import pytest
 
+from quincepier.lab.orders import MS, SECOND, Faults
+from quincepier.lab.orders import Fleet as Fleets
 from quincepier.maintenance import (
     Allowed,
     MaintenanceSection,
@@ -424,3 +426,16 @@
         assert tried(orderkit.Parts(), what) > 1000
     reached = orderkit.walk(orderkit.Parts(), 2, 60, 150, 1)
     assert min(reached.get(step.name, 0) for step in OrderStep if step is not OrderStep.STOPPED) > 0
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [Faults(late=300 * MS, loss=0.2), Faults(cut=0.25), Faults(pauses=0.5), Faults(kill=OrderStep.DRAINING)],
+)
+def test_a_fleet_in_virtual_time_keeps_the_rules_through_faults(faults: Faults) -> None:
+    found = Fleets(8, 3, faults, machines=4, zones=2, allowed=Most(1, 1)).run(200 * SECOND)
+    assert found.done_s > 0 and found.between == 0 and found.out_most == 1 and found.sent > 500
+
+
+def test_a_tenth_at_once_sends_to_machines_at_work_where_some_fronts_are_cut_off() -> None:
+    assert Fleets(8, 3, Faults(cut=0.5), machines=4, zones=2, agreed=False).run(200 * SECOND).between > 0
