--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -12,6 +12,7 @@
 
 from quincepier import clock
 from quincepier import interface as io
+from quincepier.lab.moves import Fleet
 from quincepier.operator import OperatorError, read
 from quincepier.rules import (
     FrontReport,
@@ -359,3 +360,8 @@
     change(monkeypatch)
     found = Exploration(rules).explore(150_000)
     assert found.breach and found.breach[-1].startswith("runs at"), (name, found)
+
+
+def test_in_the_model_a_move_begins_refuses_no_first_and_the_same_seed_gives_the_same_run() -> None:
+    one, two = (Fleet(5, 3, "steps").run(rate=100, warm=90, lasts=40) for _ in range(2))
+    assert one == two and one.step in ("WARMING", "VERIFY") and one.gaps == [] and one.worth > 0.9
