--- a/quincepier/tenancy/steps.py
+++ b/quincepier/tenancy/steps.py
@@ -17,7 +17,7 @@
 from quincepier.tenancy.section import COMMON, MoveLine
 from quincepier.tenancy.verify import Verdict, compare, in_same_seconds, judge, unharmed
 
-CLOSING_MOST = 500 * clock.MS  # agreed for so long and not in force: repeats run at the old home again
+CLOSING_MOST = 10 * clock.SECOND  # agreed for so long and not in force: repeats run at the old home again
 CLOSED_MOST = 32  # moves that are over and that no wish names, kept
 VERIFY_LEAST = 10 * clock.SECOND  # also the rest between two tries of closing
 Step = MoveStep
