--- a/quincepier/lab/alike.py
+++ b/quincepier/lab/alike.py
@@ -89,8 +89,13 @@
     def hear(self, sender: str, raw: bytes) -> None:
         if self.alive:
             self.perform(self.checker.said, self.net.now, sender, raw)
-            if self.checker.wake <= self.net.now:
-                self.perform(self.checker.tick, self.net.now)
+            self.work(self.starts)
+
+    def work(self, start: int) -> None:
+        """A slice after another, while one waits."""
+        if self.alive and start == self.starts and self.checker.wake <= self.net.now:
+            self.perform(self.checker.tick, self.net.now)
+            self.net.after(SLICE, self.work, start)
 
     def perform(self, call: Callable[..., Any], *about: Any) -> None:
         began = time.process_time_ns() if self.net.measures else 0
