--- a/quincepier/consistency/explain.py
+++ b/quincepier/consistency/explain.py
@@ -50,6 +50,7 @@
     machine: io.Machine
     suspect: bool
     trial_at: int
+    wait: int
     leaving: int
     credit: float
     paid: int
@@ -125,7 +126,7 @@
     router: Router, event: io.RequestCame, node: int, source: int, before: Before | None = None,
     home: io.Home | None = None, how: Arithmetic = PLAIN,
 ) -> Reason:  # fmt: skip
-    """Of an attempt at machine `node` with `source` (-1: none), as `send` is entered, before it books it.
+    """Of an attempt at machine `node` with `source` (-1: none), as it is made, before or after it is booked.
 
     `before`: the same request's attempt before this one. `home`: what `Router.homes` gives for the event.
     BREACH where neither the rule nor a reason of this front's own leads there.
@@ -142,6 +143,7 @@
     if req is None or node not in nodes or (source >= 0 and source not in nodes):
         return Account(BREACH, event.request, node, source)  # nobody asked, or at what is not listed
     trial = Trial(router, req, event, home, how)
+    source = trial.book(node, source)
     if trial.never_kept:
         here = trial.straight(node, source)
     elif before == (node, source) and source >= 0 and trial.usable(node, source):
@@ -160,19 +162,36 @@
         self, router: Router, req: Any, event: io.RequestCame, home: io.Home | None, how: Arithmetic
     ) -> None:
         self.router, self.req, self.event = router, req, event
+        self.booked, self.work = frozenset[int](), 0.0
         self.avoided = frozenset(n.machine.cache for n in req.avoid)
         s, mixed = router.s, how.mix
-        edges = [n for n in router.edges if home is None or n.machine.cache in home.caches]
-        parents = [n for n in router.parents if home is None or n.machine.cache in home.parents]
         self.origins: list[int] = [n.machine.cache for n in router.origins]
         key, obj, sized = mixed(event.object, event.part), mixed(event.object), s.sizes_compare
-        self.caches = [order(edges, key, sized, paced, how) for paced in (False, True)]
-        self.sources = [order(parents, obj, sized, paced, how) + self.origins for paced in (False, True)]
+        caches = [order(router.edges, key, sized, paced, how) for paced in (False, True)]
+        parents = [order(router.parents, obj, sized, paced, how) for paced in (False, True)]
+        if home is not None:  # of all listed the home's, each by the draw that it always has
+            caches = [[n for n in ranked if n in home.caches] for ranked in caches]
+            parents = [[n for n in ranked if n in home.parents] for ranked in parents]
+        self.caches, self.sources = caches, [ranked + self.origins for ranked in parents]
         straight = s.classes[event.cls].never_kept and s.direct
         self.never_kept = straight and any(self.why_not(n) is None for n in self.origins)
 
+    def book(self, node: int, source: int) -> int:
+        """The attempt may be booked already: then its own marks at its machines are no reason against them.
+        The source as it was: what is told without one is asked of the machine itself."""
+        made = self.router.nodes[node].out.get((self.event.request, self.req.sent - 1))
+        if made is not None and made.at == self.router.now:
+            self.booked, self.work = frozenset((node, source)) - {-1}, made.work
+        return node if source < 0 and not self.never_kept else source
+
     def why_not(self, number: int) -> Reason | None:
-        return why_not(self.router, self.router.nodes[number], self.avoided)
+        node, now = self.router.nodes[number], self.router.now
+        reason = why_not(self.router, node, self.avoided)
+        if number in self.booked and reason is Reason.ASIDE and node.trial_at == now + node.wait:
+            reason = None  # this is its trial
+        if number in self.booked and reason is Reason.COLD and node.credit + self.work >= 0:
+            reason = None  # it had the budget
+        return reason
 
     def usable(self, *numbers: int) -> bool:
         """Of machines that were chosen; a cold one's budget must have been looked at in this very turn."""
@@ -220,7 +239,7 @@
         if chosen in good[1:]:
             first = nodes[good[0]]
             hot = list(first.recent).count(self.event.object) > HOT_SHARE * HOT_OF
-            if hot and len(nodes[chosen].out) < len(first.out):
+            if hot and len(nodes[chosen].out) - (chosen in self.booked) < len(first.out):
                 return Reason.WIDENED
         if chosen in paced[1:2] and self.router.crowded(nodes[paced[0]], self.req):
             return Reason.CROWDED  # after a hold the second by hash
--- a/quincepier/consistency/witness.py
+++ b/quincepier/consistency/witness.py
@@ -62,12 +62,12 @@
     """Of the last `most` rankings in the module's memory, how many are not what its list gives now."""
     kept = list(router.ranks.items())[-most:]
     stale = 0
-    for key, ranked in kept:
+    for at, ranked in kept:
+        key, whole = (at, True) if isinstance(at, int) else (at[0], False)  # the others are of one home
         numbers = [n.machine.cache for n in ranked]
         sized = router.s.sizes_compare
-        stale += all(
-            order(group, key, sized, True, how) != numbers for group in (router.edges, router.parents)
-        )
+        groups = (order(group, key, sized, True, how) for group in (router.edges, router.parents))
+        stale += all([n for n in group if whole or n in numbers] != numbers for group in groups)
     return stale
 
 
