--- a/quincepier/consistency/witness.py
+++ b/quincepier/consistency/witness.py
@@ -28,10 +28,9 @@
         share: float,
         seed: int,
         tell: Callable[[Account], None] | None = None,
-        homes: Callable[[io.RequestCame], io.Home | None] | None = None,
         how: Arithmetic = PLAIN,
     ) -> None:
-        self.router, self.tell, self.homes, self.how = router, tell, homes, how
+        self.router, self.tell, self.how = router, tell, how
         self.below, self.seed = int(share * 2**64), seed
         self.counts = Counter[Reason]()
         self.records: deque[Account] = deque(maxlen=RECORDS_KEPT)
@@ -44,7 +43,8 @@
             return
         at = node if isinstance(node, int) else node.machine.cache
         by = -1 if source is None else source if isinstance(source, int) else source.machine.cache
-        home = self.homes(e) if self.homes is not None else None
+        # under the version that it came by, though there may be a newer one by now
+        home = getattr(self.router.requests.get(e.request), "home", None)
         seen = account(self.router, e, at, by, self.before.get(e.request), home, self.how)
         self.before[e.request] = at, by
         self.before.move_to_end(e.request)
--- a/tests/test_consistency.py
+++ b/tests/test_consistency.py
@@ -34,7 +34,7 @@
 from quincepier.consistency.snapshot import Snapshot
 from quincepier.consistency.tree import Tree
 from quincepier.consistency.words import decode
-from quincepier.interface import CacheState, ListNews, ListScope
+from quincepier.interface import CacheState, Home, ListNews, ListScope
 from quincepier.keys import mix
 from quincepier.lab.alike import AlikeNet, Front, listed, other_floats, other_seed
 from quincepier.lab.experiment import load
@@ -42,7 +42,7 @@
 from quincepier.lab.world import World as LabWorld
 from quincepier.policy import Router
 from quincepier.rules import Order, OrderStep, RuleVersion
-from tests.rig import MS, SECOND, Bench, attempts, machine, make_settings
+from tests.rig import CACHES, MS, PARENTS, SECOND, Bench, attempts, machine, make_settings
 from tests.test_policy_properties import SITES, World
 
 OFTEN = ConsistencySection(sample=24, every_s=2, late_list_s=5)
@@ -347,6 +347,20 @@
     assert reasons.total() > 500 and Reason.ASIDE in reasons and Reason.BREACH not in reasons
 
 
+def test_within_homes_the_rule_is_the_homes_own() -> None:
+    """Objects of two tenants, each at home at a part of the caches."""
+    world = World(SITES["mixed"])
+    parts = [Home(n + 1, frozenset(CACHES[n : n + 2]), frozenset(PARENTS)) for n in range(2)]
+    world.router.homes = lambda e: parts[e.object % 2]
+    witness, dice = Witness(world.router, 1.0, 1), random.Random(3)
+    watch(world.router, witness)
+    for _ in range(150):
+        world.step(dice.randrange(12), dice.randrange(10**6), dice.randrange(200))
+    assert witness.counts[Reason.RULE] > 50 and not witness.breaches
+    world.router.homes = lambda e: parts[0]
+    assert stale_ranks(world.router) == 0
+
+
 def wrong_hash(self: Router, nodes: list[Any], key: int, home: Any = None) -> list[Any]:
     return sorted(nodes, key=lambda n: mix(key + 1, n.machine.cache))
 
