--- a/quincepier/consistency/checker.py
+++ b/quincepier/consistency/checker.py
@@ -37,7 +37,6 @@
 COLLECTORS = 3  # where no front leads
 ROUNDS_KEPT = 8  # of others' asking, one a collector; the oldest goes
 SLICE = 2000  # draws between two turns of the front's other work: some 5 ms
-SAMPLE_MOST = 4096
 
 
 @dataclass(slots=True, frozen=True)
@@ -153,13 +152,13 @@
         self.rounds += 1
         number = self.inputs.version.number
         late = self.late, self.section.late_list
-        self.gathering = Gathering(now, self.rounds, number, self.members, *late)
+        self.gathering = Gathering(now, self.rounds, number, self.members, self.section.sample, *late)
         return self._drain(now, self._posted(self.gathering.tick(now)))
 
     def _heard(self, now: int, sender: str, word: Word) -> list[Out]:
         match word:
-            case Ask(round_, number):
-                return self._asked(now, sender, round_, number)
+            case Ask(round_, number, size):
+                return self._asked(now, sender, round_, number, size)
             case Look(round_, about, path, split):
                 children, leaves = self._snapshot(sender, round_).tree(about).look(path, split)
                 return self._to(sender, Below(round_, about, path, children, leaves))
@@ -173,7 +172,7 @@
                 return out
         return []
 
-    def _asked(self, now: int, sender: str, round_: int, number: int) -> list[Out]:
+    def _asked(self, now: int, sender: str, round_: int, number: int, size: int) -> list[Out]:
         before = self.asked.get(sender)
         if before is not None and before.round == round_:
             return [Send(sender, self.answers[sender])] if sender in self.answers else []
@@ -183,7 +182,6 @@
             return []
         self.answers.pop(sender, None)
         self.fresh[sender] = now
-        size = min(self.section.sample, SAMPLE_MOST)
         self.asked[sender] = Snapshot(round_, number, size, self.inputs, self.how, self.memory)
         self.asked.move_to_end(sender)
         while len(self.asked) > ROUNDS_KEPT:
--- a/quincepier/consistency/gathering.py
+++ b/quincepier/consistency/gathering.py
@@ -55,11 +55,18 @@
 
 class Gathering:
     def __init__(
-        self, now: int, round_: int, number: int, members: frozenset[str], late: Late, late_most: int
+        self,
+        now: int,
+        round_: int,
+        number: int,
+        members: frozenset[str],
+        size: int,
+        late: Late,
+        late_most: int,
     ) -> None:
         self.began, self.round, self.number, self.late, self.late_most = now, round_, number, late, late_most
         self.missing = dict.fromkeys(sorted(members), 0)  # tries
-        self.count = len(members)
+        self.size = size
         self.answers = dict[str, Answer]()
         self.again = now
         self.closed, self.whole, self.good, self.took = False, False, True, 0
@@ -77,7 +84,7 @@
             else:
                 for front in self.missing:
                     self.missing[front] += 1
-                    yield front, Ask(self.round, self.number)
+                    yield front, Ask(self.round, self.number, self.size)
                 self.again = now + AGAIN
         for job in list(self.jobs):
             if now >= job.asked_at + AGAIN:
--- a/quincepier/consistency/words.py
+++ b/quincepier/consistency/words.py
@@ -24,6 +24,7 @@
 
     round: Number
     number: Number
+    size: Annotated[int, msgspec.Meta(ge=1, le=4096)]  # keys; of who collects, as files may differ
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag=2):
