--- a/quincepier/consistency/witness.py
+++ b/quincepier/consistency/witness.py
@@ -28,10 +28,9 @@
         share: float,
         seed: int,
         tell: Callable[[Account], None] | None = None,
-        homes: Callable[[io.RequestCame], io.Home | None] | None = None,
         how: Arithmetic = PLAIN,
     ) -> None:
-        self.router, self.tell, self.homes, self.how = router, tell, homes, how
+        self.router, self.tell, self.how = router, tell, how
         self.below, self.seed = int(share * 2**64), seed
         self.counts = Counter[Reason]()
         self.records: deque[Account] = deque(maxlen=RECORDS_KEPT)
@@ -44,7 +43,8 @@
             return
         at = node if isinstance(node, int) else node.machine.cache
         by = -1 if source is None else source if isinstance(source, int) else source.machine.cache
-        home = self.homes(e) if self.homes is not None else None
+        # under the version that it came by, though there may be a newer one by now
+        home = getattr(self.router.requests.get(e.request), "home", None)
         seen = account(self.router, e, at, by, self.before.get(e.request), home, self.how)
         self.before[e.request] = at, by
         self.before.move_to_end(e.request)
@@ -62,12 +62,12 @@
     """Of the last `most` rankings in the module's memory, how many are not what its list gives now."""
     kept = list(router.ranks.items())[-most:]
     stale = 0
-    for key, ranked in kept:
+    for at, ranked in kept:
+        key, whole = (at, True) if isinstance(at, int) else (at[0], False)  # the others are of one home
         numbers = [n.machine.cache for n in ranked]
         sized = router.s.sizes_compare
-        stale += all(
-            order(group, key, sized, True, how) != numbers for group in (router.edges, router.parents)
-        )
+        groups = (order(group, key, sized, True, how) for group in (router.edges, router.parents))
+        stale += all([n for n in group if whole or n in numbers] != numbers for group in groups)
     return stale
 
 
--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -67,7 +67,7 @@
         changed = cautious != self.cautious
         self.number, self.cautious, self.unsure = version.number, cautious, unsure
         self.homes = self.bearing.homes(version, cautious, unsure)
-        self.module.router.homes = self.homes  # type: ignore[attr-defined]
+        self.module.router.homes = self.homes
         leaving = self.bearing.leaving(version, cautious)
         news = self.overlay.change(leaving, [e.machine for e in self.module.directory.entries.values()])
         if changed:
--- a/quincepier/policy/fills.py
+++ b/quincepier/policy/fills.py
@@ -26,7 +26,8 @@
         if origin is not None and not kept:  # classes never kept pass untouched
             self.send(req, origin, None)
         elif waits and fill and req.tier == 2 and self.fills >= GATE * self.bound:
-            self.shed(req)
+            # past the gate a few wait with the others: what is never filled no cache holds
+            self.hold(req) if any(self.depth) and self.depth[2] < GATE_HELD else self.shed(req)
         elif waits and (fill and (self.full(req) or any(self.depth)) or (node and self.crowded(node, req))):
             self.hold(req)
         elif target := node or (source if self.s.direct else None):  # no cache to ask: straight to the parent
--- a/tests/test_standing_floors.py
+++ b/tests/test_standing_floors.py
@@ -11,7 +11,8 @@
 from quincepier.lab.experiment import Experiment
 from quincepier.lab.world import World
 from quincepier.operator.reading import read_struct
-from quincepier.policy import GATE, Request, Router
+from quincepier.policy import Request, Router
+from quincepier.policy.fills import GATE
 from tests.rig import MS, SECOND, Bench, attempts, make_class, make_settings
 
 SEEDS = (1, 2, 3)
