--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -9,11 +9,13 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from loguru import logger
 
 from quincepier import clock
 from quincepier.consensus import Committed, Role
+from quincepier.consensus import Pace as VotingPace
 from quincepier.interface import CacheState
 from quincepier.net.fleet import steps
 from quincepier.net.fleet.bearing import Rules
@@ -37,9 +39,17 @@
 WAIT_LEAST, WAIT_MOST = 0.005, 0.1  # seconds between looks at what is due
 KEPT_WITHIN = 0.2  # seconds that a start waits for what an earlier one kept
 ALLOW_TIMES = 2  # of its class's deadline: the longest that an attempt may be open
+USUAL_LEASE = 1500  # ms for which the voters' own times are made
 DELIVERY = clock.SECOND  # and that its command may be on its way after it was given up
 
 
+def voting_pace(lease_ms: int) -> VotingPace:
+    """Longer leases are for slower ways: then voters wait longer for a leader's word too."""
+    pace, times = VotingPace(), max(lease_ms / USUAL_LEASE, 1.0)
+    names = ("beat", "ask", "least", "most", "lease", "install")
+    return replace(pace, **{name: int(getattr(pace, name) * times) for name in names})
+
+
 class Fleet:
     def __init__(
         self,
@@ -101,6 +111,7 @@
                 lambda to, raw: self.peers.send(to, AGREEMENT, raw),
                 self._agreed,
                 self.checks,
+                voting_pace(self.section.lease_ms),
             )
             self.chair = Chair(
                 name,
--- a/quincepier/rules/ledger.py
+++ b/quincepier/rules/ledger.py
@@ -52,7 +52,10 @@
 class Ledger:
     """Made anew by each front that comes to lead, with the moment of its election."""
 
-    __slots__ = ("pace", "began", "newest", "digest", "fronts", "force", "force_since", "no_more", "away", "reached", "agreed_at")
+    __slots__ = (
+        "pace", "began", "newest", "digest", "fronts", "force", "force_since", "no_more", "away", "reached",
+        "agreed_at",
+    )  # fmt: skip
 
     def __init__(self, now: int, pace: Pace, newest: RuleVersion) -> None:
         self.pace, self.began = pace, now
--- a/tests/agreementrig.py
+++ b/tests/agreementrig.py
@@ -233,14 +233,15 @@
     return run
 
 
-def kept_from(rig: Fronts, cache: int) -> tuple[int, int]:
+def kept_from(rig: Fronts, cache: int, since: int = 0) -> tuple[int, int]:
     """Between `empty` and `back` of a cache no command reached it; when they were agreed.
 
     Lines are of whole milliseconds and written as the version is agreed; none may send from then on.
     """
     host = f"s-{cache}"
-    empty = rig.said("order step", machine=host, step="empty")[0].at + MS
-    back = rig.said("order step", machine=host, step="back")[0].at
+    told = [line for line in rig.said("order step", machine=host) if line.at >= since]
+    empty = next(line.at for line in told if line.fields["step"] == "empty") + MS
+    back = next(line.at for line in told if line.fields["step"] == "back")
     late = rig.commands(cache, empty, back)
     assert empty < back and not late, late[:3]
     return empty, back
--- a/tests/test_agreement_processes.py
+++ b/tests/test_agreement_processes.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import shutil
 from pathlib import Path
 
+import pytest
+
+from quincepier.lab.experiment import SECOND
 from tests.agreementrig import Fronts, kept_from, steps_of, told
 
 WORK = """
@@ -36,3 +41,130 @@
     assert steps_of(rig, 1) == WHOLE
     drained = rig.said("order step", machine="s-1", step="draining")[0].at
     assert rig.commands(1, 0, drained) and rig.commands(2, empty, empty + 10**10)  # it was used before
+
+
+def good(rig: Fronts) -> None:
+    """The whole order, no command at the machine that is worked on, no rule broken by any front."""
+    run = told(rig)
+    assert not run.accused and not run.figures.broken, (run.accused, run.figures.first_broken)
+    kept_from(rig, 1)
+    assert steps_of(rig, 1) == WHOLE
+
+
+@pytest.mark.parametrize("step", ["draining", "out"])
+def test_a_leader_killed_in_the_middle_of_an_order_is_followed_by_one_that_goes_on(
+    tmp_path: Path, step: str
+) -> None:
+    async def story(rig: Fronts) -> None:
+        first = await rig.leader()
+        rig.wish(WORK)
+        if step == "out":
+            await rig.line("order step", machine="s-1", step="empty")
+            rig.work(1, 4.0)
+        await rig.line("order step", machine="s-1", step=step)
+        rig.kill(first)
+        second = await rig.leader(rig.now)
+        assert second != first
+        if step == "draining":
+            await rig.line("order step", machine="s-1", step="empty")
+            rig.work(1, 1.0)
+        await rig.start(first)
+        await rig.line("order step", machine="s-1", step="in")
+
+    good(Fronts(tmp_path, story))
+
+
+def test_halves_cut_in_the_middle_the_one_without_a_quorum_agrees_on_nothing_and_serves_on(
+    tmp_path: Path,
+) -> None:
+    cut: list[int] = []
+    few: list[tuple[int, ...]] = []
+
+    async def story(rig: Fronts) -> None:
+        first = await rig.leader()
+        rig.wish(WORK)
+        await rig.line("order step", machine="s-1", step="draining")
+        some = (first, 3)
+        others = tuple(n for n in range(5) if n not in some)
+        cut.append(rig.now)
+        few.append(some)
+        rig.between(some, others, "cut")
+        for n in some:
+            await rig.until(lambda n=n: rig.said("cautious entered", (n,)), f"n{n} is cautious")
+        await rig.leader(cut[0])
+        await rig.line("order step", machine="s-1", step="empty")
+        rig.work(1, 1.0)
+        await rig.line("order step", machine="s-1", step="back")
+        cut.append(rig.now)
+        rig.between(some, others, "cut", heal=True)
+        await rig.line("order step", machine="s-1", step="in")
+        for n in some:
+            await rig.until(lambda n=n: _left(rig, n), f"n{n} has a lease again")
+
+    def _left(rig: Fronts, n: int) -> bool:
+        return any(line.at > cut[1] for line in rig.said("cautious left", (n,)))
+
+    rig = Fronts(tmp_path, story)
+    good(rig)
+    since, until, alone = cut[0] + SECOND, cut[1], few[0]
+    new = rig.said("version agreed", alone) + rig.said("version adopted", alone)
+    assert not [line for line in new if since < line.at < until]
+    sent = [n for n in rig.notes if n[1] == "sent" and n[3] in alone and since < n[0] < until]
+    assert len(sent) > 5  # they served on
+
+
+def test_a_leader_that_stands_still_for_five_seconds_does_no_harm_as_it_goes_on(tmp_path: Path) -> None:
+    async def story(rig: Fronts) -> None:
+        first = await rig.leader()
+        rig.wish(WORK)
+        await rig.line("order step", machine="s-1", step="draining")
+        began = rig.now
+        pause = asyncio.create_task(rig.pause(first, 5.0))
+        assert await rig.leader(began) != first
+        await rig.line("order step", machine="s-1", step="empty")
+        rig.work(1, 1.0)
+        await pause
+        await rig.line("order step", machine="s-1", step="in")
+        await rig.until(lambda: rig.said("leads no more", (first,)), "it knows that it leads no more")
+
+    good(Fronts(tmp_path, story))
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_all_fronts_killed_at_once_in_the_middle_of_an_order(tmp_path: Path, lost: bool) -> None:
+    """With their folders the order goes on where it was; without, it is settled anew and begins anew."""
+    again: list[int] = []
+
+    async def story(rig: Fronts) -> None:
+        await rig.leader()
+        rig.wish(WORK)
+        await rig.line("order step", machine="s-1", step="empty")
+        rig.kill(*range(5))
+        if lost:
+            for place in rig.folder.glob("front-*/rules-*"):
+                shutil.rmtree(place)
+        again.append(rig.now)
+        await rig.start(*range(5))
+        await rig.leader(again[0])
+        if lost:
+            await rig.line("order step", again[0], machine="s-1", step="empty")
+        rig.work(1, 1.0)
+        await rig.line("order step", again[0], machine="s-1", step="in")
+
+    rig = Fronts(tmp_path, story)
+    run = told(rig)
+    assert not run.accused and not run.figures.broken, (run.accused, run.figures.first_broken)
+    kept_from(rig, 1, again[0] if lost else 0)
+    steps = [line.fields["step"] for line in rig.said("order step", machine="s-1") if line.at > again[0]]
+    assert steps == (WHOLE if lost else WHOLE[3:])
+
+
+def test_an_order_goes_through_with_half_a_second_of_delay_between_all_fronts(tmp_path: Path) -> None:
+    async def story(rig: Fronts) -> None:
+        await rig.leader()
+        every = tuple(range(5))
+        rig.between(every, every, "delay", size=500)
+        rig.wish(WORK)
+        await worked_on(rig)
+
+    good(Fronts(tmp_path, story, lease="lease_ms: 3000"))
--- a/tests/test_consistency.py
+++ b/tests/test_consistency.py
@@ -35,8 +35,9 @@
 from quincepier.consistency.tree import Tree
 from quincepier.consistency.words import decode
 from quincepier.interface import CacheState, ListNews, ListScope
+from quincepier.keys import mix
 from quincepier.lab.alike import AlikeNet, Front, listed, other_floats, other_seed
-from quincepier.policy import Router, mix
+from quincepier.policy import Router
 from quincepier.rules import Order, OrderStep, RuleVersion
 from tests.rig import MS, SECOND, Bench, attempts, machine, make_settings
 from tests.test_policy_properties import SITES, World
