--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from quincepier.addresses.section import AddressesSection
     from quincepier.clients.section import Places
+    from quincepier.consistency.section import ConsistencySection
     from quincepier.net.client import Shop
     from quincepier.net.fleet.fleet import Fleet
     from quincepier.net.keeper import Keeper
@@ -22,8 +23,8 @@
     from quincepier.net.peers.divide import Divider
 
 
-AT_A_START = ("addresses", "state", "members", "agreement")  # sections that come and go only at a start
-ONLY_AT_A_START = ("state", "members", "agreement")  # nor does what they say change before
+AT_A_START = ("addresses", "state", "members", "agreement", "consistency")  # sections that come and go only at a start
+ONLY_AT_A_START = ("state", "members", "agreement", "consistency")  # nor does what they say change before
 
 
 class Operators:
@@ -103,8 +104,14 @@
         section = self.file.get(AgreementSection)
         if section is None:
             return None
-        rules = Rules(module, self.file)
-        return Fleet(module, peers, section, rules)
+        return Fleet(module, peers, section, Rules(module, self.file), self._compared())
+
+    def _compared(self) -> ConsistencySection | None:
+        if self.file.named("consistency") is None:
+            return None
+        from quincepier.consistency.section import ConsistencySection
+
+        return self.file.get(ConsistencySection)
 
     def wishes(self, fleet: Fleet) -> None:
         """The file as it holds now, read again."""
--- a/quincepier/net/fleet/bearing.py
+++ b/quincepier/net/fleet/bearing.py
@@ -1,53 +1,51 @@
 """What the pure parts say of a version at this front, by the sections that its file has.
 
 `maintenance` says which machines leave, `tenancy` where requests are at home; both plan, where this front
-leads, by what its own file wishes. What no section names is not imported.
+leads, by what its own file wishes. Tenancy is imported only where the file has its section.
 """
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from quincepier import clock
-from quincepier.interface import Effect, Home, RequestCame
+from quincepier.interface import CacheState, Effect
 from quincepier.maintenance import MaintenanceSection, leaving, named, plan
 from quincepier.net.fleet.chair import Planner
 from quincepier.net.module import ModuleActor
 from quincepier.operator import OperatorFile
 from quincepier.rules import Change, RuleVersion, Seen
 
+if TYPE_CHECKING:
+    from quincepier.tenancy import Homes, Tenants
 
-class HomesOf(Protocol):
-    """As `tenancy.Homes`."""
-
-    def __call__(self, e: RequestCame) -> Home | None: ...
-
-    def renew(self) -> None: ...
-
-    def decide(self, tenant: int, key: int, once: bool, repeat: bool) -> tuple[str, bool]: ...
+NOTICE = 60 * clock.SECOND  # where no section says it
 
 
 class Rules:
     def __init__(self, module: ModuleActor, file: OperatorFile) -> None:
         self.module, self.name = module, module.config.name
-        self.once_of = [c.effect is not Effect.SAFE for c in module.config.settings.classes]
-        self.notice = 60 * clock.SECOND
+        self.once = [c.effect is not Effect.SAFE for c in module.config.settings.classes]
+        self.notice = NOTICE
         self.plans: list[Planner] = []
         self.named = frozenset[str]()
         self.waits: tuple[str, ...] = ()
+        self.tenants: Tenants | None = None
         self.take(file)
 
     def take(self, file: OperatorFile) -> None:
         """What the file wishes now."""
-        self.plans = []
         wished = MaintenanceSection()
         if file.named("maintenance") is not None:
             wished = file.get(MaintenanceSection) or wished
         self.named, self.waits = named(wished), ()
         # an order that nobody wishes any more is ended by the same plan: there is one without a section
-        self.plans.append(lambda version, seen: self._orders(wished, version, seen))
+        self.plans = [lambda version, seen: self._orders(wished, version, seen)]
+        self.tenants, self.notice = None, NOTICE
+        if file.named("tenants") is not None:
+            self._tenants(file)
 
     def _orders(self, wished: MaintenanceSection, version: RuleVersion, seen: Seen) -> Change | None:
         found = plan(version, wished, seen)
@@ -57,17 +55,45 @@
             logger.bind(event="orders wait", detail=detail).info("orders wait: {}", detail or "none")
         return found.change
 
+    def _tenants(self, file: OperatorFile) -> None:
+        from quincepier.tenancy import Tenants, TenantsSection, Wishes, advance
+
+        section = file.get(TenantsSection)
+        if section is None:
+            return
+        self.tenants = Tenants(section)
+        wishes = Wishes.of(section, self.module.config.settings.classes)
+        self.notice = wishes.notice
+        self.plans.append(lambda version, seen: advance(version, wishes, seen))
+
     def planners(self) -> list[Planner]:
         return self.plans
 
     def leaving(self, version: RuleVersion, cautious: bool) -> frozenset[str]:
         return leaving(version, cautious, self.name, self.named)
 
-    def homes(self, version: RuleVersion, cautious: bool, unsure: bool) -> HomesOf | None:
-        return None
+    def homes(self, version: RuleVersion, cautious: bool, unsure: bool) -> Homes | None:
+        """What the Router asks; None where this front's file has no tenants."""
+        if self.tenants is None:
+            return None
+        from quincepier.tenancy import Homes
+
+        settings, number = self.module.config.settings, self.module.directory.numbers.get
+        return Homes(version, cautious, number, self.tenants, settings.classes, self.listed, unsure)
+
+    def listed(self) -> tuple[frozenset[int], frozenset[int]]:
+        """Numbers of the caches and of the parents that the log lists as ready."""
+        s = self.module.config.settings
+        ready = [
+            e.machine for e in self.module.directory.entries.values() if e.machine.state is CacheState.READY
+        ]
+        upper = (s.parent_kind, s.origin_kind)
+        caches = frozenset(m.cache for m in ready if m.kind not in upper)
+        return caches, frozenset(m.cache for m in ready if m.kind == s.parent_kind)
 
     def tenant_of(self, item: str) -> tuple[int, str]:
-        return 0, ""
-
-    def once(self, cls: int) -> bool:
-        return self.once_of[cls]
+        """A tenant's number and name; (0, "") for nobody's."""
+        if self.tenants is None:
+            return 0, ""
+        number = self.tenants.tenant_of(item)
+        return number, self.tenants.name(number)
--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -7,19 +7,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from quincepier import clock
 from quincepier.interface import CacheState, ListNews, Note, RequestCame
 from quincepier.memory.requests import OpenAttempt, OpenRequest
-from quincepier.net.fleet.bearing import HomesOf, Rules
+from quincepier.net.fleet.bearing import Rules
 from quincepier.net.fleet.follower import Follower
 from quincepier.net.fleet.overlay import Overlay
 from quincepier.net.fleet.tally import Tally
 from quincepier.net.module import ModuleActor
 from quincepier.rules import FrontReport, RuleVersion
 
+if TYPE_CHECKING:
+    from quincepier.tenancy import Homes
+
 
 class Effects:
     """Is the module actor's `settled`."""
@@ -29,11 +33,11 @@
         self.checks = module.checks
         self.overlay = Overlay(module.directory.hosts)
         self.tally = Tally(module.config.settings.classes, clock.now())
-        self.homes: HomesOf | None = None
+        self.homes: Homes | None = None
         self.kept: RuleVersion | None = None  # of an earlier start
         self.cautious, self.since = True, clock.boot()
         self.unsure = False
-        self.number, self.seq, self.doubt = -1, 0, ""
+        self.number, self.seq, self.revision, self.doubt = -1, 0, 0, ""
         self.applied: Callable[[], None] = lambda: None  # told after each change
         self.busy = False
 
@@ -67,7 +71,7 @@
         changed = cautious != self.cautious
         self.number, self.cautious, self.unsure = version.number, cautious, unsure
         self.homes = self.bearing.homes(version, cautious, unsure)
-        self.module.router.homes = self.homes  # type: ignore[attr-defined]
+        self.module.router.homes = self.homes
         leaving = self.bearing.leaving(version, cautious)
         news = self.overlay.change(leaving, [e.machine for e in self.module.directory.entries.values()])
         if changed:
@@ -98,13 +102,15 @@
             self.homes.renew()
         return self.overlay.over(news)
 
-    def heard(self, seq: int) -> None:
+    def heard(self, seq: int, of_list: bool) -> None:
         self.seq = max(self.seq, seq)
+        if of_list:
+            self.revision = self.seq
 
     def came(self, event: RequestCame, request: OpenRequest) -> None:
         event.tenant, request.tenant = self.bearing.tenant_of(request.item)
         if self.homes is not None:
-            once = self.bearing.once(request.cls)
+            once = self.bearing.once[request.cls]
             request.shard = self.homes.decide(event.tenant, event.object, once, event.repeat)[0]
 
     def sent(self, attempt: OpenAttempt, now: int) -> None:
--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
@@ -35,6 +36,9 @@
 from quincepier.state.store import Files
 from quincepier.state.voterlog import VoterLog
 
+if TYPE_CHECKING:
+    from quincepier.consistency.section import ConsistencySection
+
 TURN_EVERY = 100 * clock.MS  # between turns of whoever leads
 WAIT_LEAST, WAIT_MOST = 0.005, 0.1  # seconds between looks at what is due
 KEPT_WITHIN = 0.2  # seconds that a start waits for what an earlier one kept
@@ -46,8 +50,15 @@
 def voting_pace(lease_ms: int) -> VotingPace:
     """Longer leases are for slower ways: then voters wait longer for a leader's word too."""
     pace, times = VotingPace(), max(lease_ms / USUAL_LEASE, 1.0)
-    names = ("beat", "ask", "least", "most", "lease", "install")
-    return replace(pace, **{name: int(getattr(pace, name) * times) for name in names})
+    return replace(
+        pace,
+        beat=int(pace.beat * times),
+        ask=int(pace.ask * times),
+        least=int(pace.least * times),
+        most=int(pace.most * times),
+        lease=int(pace.lease * times),
+        install=int(pace.install * times),
+    )
 
 
 class Fleet:
@@ -57,6 +68,7 @@
         peers: Peers,
         section: AgreementSection,
         rules: Rules,
+        compared: ConsistencySection | None = None,
     ) -> None:
         config, self.checks = module.config, module.checks
         self.module, self.peers, self.section, self.name = module, peers, section, config.name
@@ -67,7 +79,7 @@
         start = time.time_ns() // clock.MS
         self.follower = Follower(self.name, self.voters, start, clock.boot(), self.pace, config.seed)
         self.effects = Effects(module, self.follower, rules)
-        self.rules = rules
+        self.rules, self.compared = rules, compared
         self.effects.applied = self._applied
         folder = section.place(self.name)
         self.kept, self.keeping, self.to_keep = Kept(folder), False, -1
@@ -125,12 +137,26 @@
             )
             self.peers.channel(AGREEMENT, self.seat.heard)
             self.seat.open()
+        if self.compared is not None:
+            self._compare(self.compared)
         self.running = asyncio.get_running_loop().create_task(self._run())
         try:
             await asyncio.wait_for(self.first.wait(), self.section.first_ms / 1000)
         except TimeoutError:
             self.checks.event("no version at the start", "serves by its cautious set until one is heard")
 
+    def _compare(self, section: ConsistencySection) -> None:
+        """With all others, whether they decide alike."""
+        from quincepier.net.fleet.alike import Alike
+
+        def leader() -> str:
+            return self.name if self.chair is not None and self.chair.ledger else self.follower.told_leader
+
+        alike = Alike(self.module, self.peers, self.effects, self.rules, section, leader)
+        self.others.append(alike.turn)
+        if self.chair is not None:
+            self.chair.alike = alike.checker.alike
+
     def end(self) -> None:
         if self.running is not None:
             self.running.cancel()
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -197,7 +197,7 @@
 
     def _news(self, event: ChangeEvent, scope: ListScope) -> None:
         if self.settled is not None:
-            self.settled.heard(event.seq)
+            self.settled.heard(event.seq, isinstance(event, FleetChange))
         if isinstance(event, PurgeRecord):
             self._tell(purged(event))
             self._recall(event)
--- a/quincepier/net/settled.py
+++ b/quincepier/net/settled.py
@@ -17,8 +17,8 @@
     def listed(self, news: ListNews) -> ListNews:
         """News of the list as the module is to hear them."""
 
-    def heard(self, seq: int) -> None:
-        """The change log is heard up to that number."""
+    def heard(self, seq: int, of_list: bool) -> None:
+        """The change log is heard up to that number; `of_list`: it is a change of the list."""
 
     def came(self, event: RequestCame, request: OpenRequest) -> None:
         """A request comes: its tenant is set."""
