--- a/quincepier/rules/reports.py
+++ b/quincepier/rules/reports.py
@@ -71,3 +71,4 @@
     agreed_for: int = 0  # ns since the newest version was agreed; a leader that found it agreed: 1 << 62
     # highest number that every front was told of, with a lease or without; None: taken to be `in_force`
     told: int | None = None
+    agreed_for: int = 0  # ns since the newest version was agreed; if it was found agreed: since the election
