--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -23,8 +23,8 @@
     from quincepier.net.peers.divide import Divider
 
 
-AT_A_START = ("addresses", "state", "members", "agreement", "consistency")  # sections that come and go only at a start
-ONLY_AT_A_START = ("state", "members", "agreement", "consistency")  # nor does what they say change before
+ONLY_AT_A_START = ("state", "members", "agreement", "consistency")  # what they say changes at a start alone
+AT_A_START = ("addresses", *ONLY_AT_A_START)  # sections that come and go only at a start
 
 
 class Operators:
--- a/quincepier/rules/ledger.py
+++ b/quincepier/rules/ledger.py
@@ -17,7 +17,6 @@
 from quincepier.rules.reports import FrontReport, MachineSeen, Seen
 from quincepier.rules.version import RuleVersion
 
-FOUND = 1 << 62  # nanoseconds since a version was agreed that a new leader found so
 REACHED_MOST = 1024  # numbers of which is kept since when they are in force
 
 
@@ -64,7 +63,7 @@
         self.force, self.force_since = 0, now
         self.no_more = frozenset[str]()
         self.reached = dict[int, int]()  # when a number was first surely in force
-        self.agreed_at = -FOUND  # when the newest was agreed under this leader; found agreed: long ago
+        self.agreed_at = now  # when the newest was agreed, or found agreed
         self.away = 0  # asks of fronts beyond the most that are kept
 
     def agreed(self, version: RuleVersion, now: int = 0) -> None:
@@ -186,6 +185,6 @@
             alike,
             dict(usual or {}),
             {number: now - at for number, at in self.reached.items() if number <= force},
-            min(now - self.agreed_at, FOUND),
+            now - self.agreed_at,
             self.told(now, names),
         )
--- a/quincepier/rules/reports.py
+++ b/quincepier/rules/reports.py
@@ -68,7 +68,6 @@
     usual: dict[str, float] = field(default_factory=dict)  # tenant to worth in time over worth, before orders
     # nanoseconds for which a number is surely in force, for such as `since` of moves; may lack any
     ages: dict[int, int] = field(default_factory=dict)
-    agreed_for: int = 0  # ns since the newest version was agreed; a leader that found it agreed: 1 << 62
+    agreed_for: int = 0  # ns since the newest version was agreed; if it was found agreed: since the election
     # highest number that every front was told of, with a lease or without; None: taken to be `in_force`
     told: int | None = None
-    agreed_for: int = 0  # ns since the newest version was agreed; if it was found agreed: since the election
--- a/tests/test_agreement_processes.py
+++ b/tests/test_agreement_processes.py
@@ -89,8 +89,7 @@
         cut.append(rig.now)
         few.append(some)
         rig.between(some, others, "cut")
-        for n in some:
-            await rig.until(lambda n=n: rig.said("cautious entered", (n,)), f"n{n} is cautious")
+        await rig.until(lambda: all(rig.said("cautious entered", (n,)) for n in some), "both are cautious")
         await rig.leader(cut[0])
         await rig.line("order step", machine="s-1", step="empty")
         rig.work(1, 1.0)
@@ -98,8 +97,7 @@
         cut.append(rig.now)
         rig.between(some, others, "cut", heal=True)
         await rig.line("order step", machine="s-1", step="in")
-        for n in some:
-            await rig.until(lambda n=n: _left(rig, n), f"n{n} has a lease again")
+        await rig.until(lambda: all(_left(rig, n) for n in some), "both have a lease again")
 
     def _left(rig: Fronts, n: int) -> bool:
         return any(line.at > cut[1] for line in rig.said("cautious left", (n,)))
