--- a/quincepier/lab/moves.py
+++ b/quincepier/lab/moves.py
@@ -175,7 +175,7 @@
         ages = {n: self.now - at for n, at in self.force.items() if n <= number}
         seen = Seen(
             self.now, tuple(self.names), reports, whole, number, self.now - self.force.get(number, self.now),
-            self.machines, (), "", True, {}, None, ages,
+            self.machines, (), "", True, {}, ages,
             self.now - max(self.agreed_at, self.leads_from),
         )  # fmt: skip
         change = advance(self.version, self.wishes, seen)
--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -9,11 +9,14 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from quincepier import clock
 from quincepier.consensus import Committed, Role
+from quincepier.consensus import Pace as VotingPace
 from quincepier.interface import CacheState
 from quincepier.net.fleet import steps
 from quincepier.net.fleet.bearing import Rules
@@ -33,13 +36,31 @@
 from quincepier.state.store import Files
 from quincepier.state.voterlog import VoterLog
 
+if TYPE_CHECKING:
+    from quincepier.consistency.section import ConsistencySection
+
 TURN_EVERY = 100 * clock.MS  # between turns of whoever leads
 WAIT_LEAST, WAIT_MOST = 0.005, 0.1  # seconds between looks at what is due
 KEPT_WITHIN = 0.2  # seconds that a start waits for what an earlier one kept
 ALLOW_TIMES = 2  # of its class's deadline: the longest that an attempt may be open
+USUAL_LEASE = 1500  # ms for which the voters' own times are made
 DELIVERY = clock.SECOND  # and that its command may be on its way after it was given up
 
 
+def voting_pace(lease_ms: int) -> VotingPace:
+    """Longer leases are for slower ways: then voters wait longer for a leader's word too."""
+    pace, times = VotingPace(), max(lease_ms / USUAL_LEASE, 1.0)
+    return replace(
+        pace,
+        beat=int(pace.beat * times),
+        ask=int(pace.ask * times),
+        least=int(pace.least * times),
+        most=int(pace.most * times),
+        lease=int(pace.lease * times),
+        install=int(pace.install * times),
+    )
+
+
 class Fleet:
     def __init__(
         self,
@@ -47,6 +68,7 @@
         peers: Peers,
         section: AgreementSection,
         rules: Rules,
+        compared: ConsistencySection | None = None,
     ) -> None:
         config, self.checks = module.config, module.checks
         self.module, self.peers, self.section, self.name = module, peers, section, config.name
@@ -57,7 +79,7 @@
         start = time.time_ns() // clock.MS
         self.follower = Follower(self.name, self.voters, start, clock.boot(), self.pace, config.seed)
         self.effects = Effects(module, self.follower, rules)
-        self.rules = rules
+        self.rules, self.compared = rules, compared
         self.effects.applied = self._applied
         folder = section.place(self.name)
         self.kept, self.keeping, self.to_keep = Kept(folder), False, -1
@@ -101,6 +123,7 @@
                 lambda to, raw: self.peers.send(to, AGREEMENT, raw),
                 self._agreed,
                 self.checks,
+                voting_pace(self.section.lease_ms),
             )
             self.chair = Chair(
                 name,
@@ -114,12 +137,26 @@
             )
             self.peers.channel(AGREEMENT, self.seat.heard)
             self.seat.open()
+        if self.compared is not None:
+            self._compare(self.compared)
         self.running = asyncio.get_running_loop().create_task(self._run())
         try:
             await asyncio.wait_for(self.first.wait(), self.section.first_ms / 1000)
         except TimeoutError:
             self.checks.event("no version at the start", "serves by its cautious set until one is heard")
 
+    def _compare(self, section: ConsistencySection) -> None:
+        """With all others, whether they decide alike."""
+        from quincepier.net.fleet.alike import Alike
+
+        def leader() -> str:
+            return self.name if self.chair is not None and self.chair.ledger else self.follower.told_leader
+
+        alike = Alike(self.module, self.peers, self.effects, self.rules, section, leader)
+        self.others.append(alike.turn)
+        if self.chair is not None:
+            self.chair.alike = alike.checker.alike
+
     def end(self) -> None:
         if self.running is not None:
             self.running.cancel()
--- a/quincepier/policy/fills.py
+++ b/quincepier/policy/fills.py
@@ -12,7 +12,7 @@
 BOOST_EVERY, FLOOR_EVERY = 10, SECOND  # held for one object that add one; a tier's floor (design)
 BOUND_MOST, BAD_SHARE = 256, 0.25  # doubled; after a bound's worth of fills, halved if more went badly
 REST_LEAST, REST_MOST, REST_EASE = 100 * MS, 2 * SECOND, 0.3  # between fills, doubled by a refused one
-GATE, SPARE = 0.85, 0.5  # of the bound: the lowest tier is shed from it (design); free for one more copy
+GATE, GATE_HELD, SPARE = 0.85, 2, 0.5  # of the bound: the lowest tier is shed (design) but so many; to copy
 LINK_FADE, LINK_PART = 2 * SECOND, 0.35  # what is told of it counts half; where many see it by fills alone
 HOLD_PART, HOLD_SCAN = 0.15, 16  # longest hold, as part of the wanted time; held objects looked through
 
--- a/tests/tenancykit.py
+++ b/tests/tenancykit.py
@@ -128,7 +128,6 @@
                 "",
                 True,
                 {},
-                None,
                 ages,
                 LONG * late,
             )
