--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -28,11 +28,11 @@
 class Effects:
     """Is the module actor's `settled`."""
 
-    def __init__(self, module: ModuleActor, follower: Follower, bearing: Rules) -> None:
+    def __init__(self, module: ModuleActor, follower: Follower, bearing: Rules, span: int) -> None:
         self.module, self.follower, self.bearing = module, follower, bearing
         self.checks = module.checks
         self.overlay = Overlay(module.directory.hosts)
-        self.tally = Tally(module.config.settings.classes, clock.now())
+        self.tally = Tally(module.config.settings.classes, clock.now(), span)
         self.homes: Homes | None = None
         self.kept: RuleVersion | None = None  # of an earlier start
         self.cautious, self.since = True, clock.boot()
--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -78,7 +78,7 @@
         self.pace = Pace(lease, every, attempt=ALLOW_TIMES * longest + DELIVERY)
         start = time.time_ns() // clock.MS
         self.follower = Follower(self.name, self.voters, start, clock.boot(), self.pace, config.seed)
-        self.effects = Effects(module, self.follower, rules)
+        self.effects = Effects(module, self.follower, rules, section.span_s)
         self.rules, self.compared = rules, compared
         self.effects.applied = self._applied
         folder = section.place(self.name)
--- a/quincepier/net/fleet/section.py
+++ b/quincepier/net/fleet/section.py
@@ -18,6 +18,7 @@
     folder: Annotated[str, msgspec.Meta(min_length=1, max_length=4000)]
     lease_ms: Annotated[int, msgspec.Meta(ge=300, le=60_000)] = 1500
     report_ms: Annotated[int, msgspec.Meta(ge=50, le=20_000)] = 250
+    span_s: Annotated[int, msgspec.Meta(ge=1, le=60)] = 10  # that the counts of a report are of
     first_ms: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 3000  # a start waits so long for a version
 
     def __post_init__(self) -> None:
--- a/quincepier/net/fleet/tally.py
+++ b/quincepier/net/fleet/tally.py
@@ -14,7 +14,6 @@
 from quincepier.memory.requests import OpenAttempt, OpenRequest
 from quincepier.rules import FrontReport, Service
 
-SPAN = 10  # seconds
 ROWS_MOST, HOSTS_MOST, ASIDE_MOST = 256, 4096, 512
 COMMON = "common"  # in reports the word for the home of all who have no other, as "" stands for all
 FILLS = (Note.FILLED, Note.FROM_ORIGIN)
@@ -33,9 +32,10 @@
 class Tally:
     """Times by the module's clock."""
 
-    def __init__(self, classes: tuple[RequestClass, ...], now: int) -> None:
-        self.classes = classes
-        self.seconds: deque[Second] = deque([Second(now)], SPAN)
+    def __init__(self, classes: tuple[RequestClass, ...], now: int, span: int) -> None:
+        """`span`: seconds that a report's counts are of at most."""
+        self.classes, self.span = classes, span
+        self.seconds: deque[Second] = deque([Second(now)], span + 1)
         self.keyed: dict[Key, int] = {}  # when a request that may not be repeated was last sent on
 
     def begin(self, now: int) -> None:
@@ -93,7 +93,7 @@
         hosts: dict[int, str],
     ) -> FrontReport:
         """`about` with all that was counted, and what is open now."""
-        while len(self.seconds) > 1 and now - self.seconds[0].since > SPAN * clock.SECOND:
+        while len(self.seconds) > 1 and now - self.seconds[0].since > self.span * clock.SECOND:
             self.seconds.popleft()
         sent, rows = Counter[int](), dict[Key, list[float]]()
         for second in self.seconds:
--- a/tests/test_agreement_processes.py
+++ b/tests/test_agreement_processes.py
@@ -5,11 +5,12 @@
 import asyncio
 import shutil
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from quincepier.lab.experiment import SECOND
-from tests.agreementrig import Fronts, kept_from, steps_of, told
+from tests.agreementrig import EXPERIMENT, Fronts, kept_from, steps_of, told
 
 WORK = """
 maintenance:
@@ -166,3 +167,61 @@
         await worked_on(rig)
 
     good(Fronts(tmp_path, story, lease="lease_ms: 3000"))
+
+
+TENANTS_TEXT = EXPERIMENT.replace(
+    "  - {name: bid,",
+    "  - {name: order, share: 0.3, send_ms: 5, wanted_ms: 400, deadline_ms: 1500, worth: 2, effect: keyed,\n"
+    "     objects: 60}\n  - {name: bid,",
+)
+SHARDS = """
+tenants:
+  notice_s: 5
+  shards: {north: {caches: [s-3, s-4]}}
+  tenants: {acme: {items: ["00000001", "00000002"]}}
+"""
+NORTH = (3, 4)
+
+
+def keyed(rig: Fronts, caches: tuple[int, ...], since: int = 0) -> list[list[Any]]:
+    """Commands at some caches of requests that may not simply be repeated; all are the tenant's."""
+    jobs = {n[2] for n in rig.notes if n[1] == "asked" and n[4] == "keyed"}
+    return [n for n in rig.notes if n[1] == "sent" and n[2] in jobs and n[4] in caches and n[0] > since]
+
+
+def test_a_move_is_rolled_back_during_a_cut_and_what_may_not_be_repeated_never_ran_at_the_new_home(
+    tmp_path: Path,
+) -> None:
+    healed: list[int] = []
+    alone: list[int] = []
+
+    async def story(rig: Fronts) -> None:
+        first = await rig.leader()
+        rig.wish(SHARDS + "  moves: [{id: m1, tenant: acme, to: north}]\n")
+        await rig.line("move step", tenant="acme", step="warming")
+        begun = rig.now
+        await rig.until(lambda: len({m.front for m in adopted(rig, begun)}) == 5, "all know of the move")
+        some = (first, 3)
+        alone.extend(some)
+        rig.between(some, tuple(n for n in range(5) if n not in some), "cut")
+        await rig.until(lambda: all(rig.said("cautious entered", (n,)) for n in some), "both are cautious")
+        rig.wish(SHARDS + "  moves: [{id: m1, tenant: acme, to: north, rollback: true}]\n")
+        await rig.line("move step", tenant="acme", step="back")
+        rig.between(some, tuple(n for n in range(5) if n not in some), "cut", heal=True)
+        healed.append(rig.now)
+        last = rig.said("version agreed")[-1].fields["number"]
+        await rig.until(
+            lambda: all(any(a.fields["number"] >= last for a in adopted(rig, healed[0], n)) for n in some),
+            "the two that were cut off know that it is back",
+        )
+
+    def adopted(rig: Fronts, since: int, front: int | None = None) -> list[Any]:
+        fronts = None if front is None else (front,)
+        return [line for line in rig.said("version adopted", fronts) if line.at > since - SECOND]
+
+    rig = Fronts(tmp_path, story, sections=SHARDS, text=TENANTS_TEXT, lease="span_s: 2")
+    run = told(rig)
+    assert not run.accused and not run.figures.broken, (run.accused, run.figures.first_broken)
+    assert keyed(rig, (1, 2)) and not keyed(rig, NORTH)
+    moved = [n for n in rig.notes if n[1] == "sent" and n[4] in NORTH]
+    assert moved  # of what may be repeated a part went there
