--- /dev/null
+++ b/tests/test_fleet_parts.py
@@ -0,0 +1,327 @@
+"""Voter's seat, follower, leader's chair and what a version does to the module, without a process."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+import pytest
+
+from quincepier import clock
+from quincepier.checks import Checks
+from quincepier.consensus import Committed, Role
+from quincepier.interface import CacheState, Effect, ListNews, ListScope, Note
+from quincepier.maintenance import leaving
+from quincepier.net.fleet.chair import Chair
+from quincepier.net.fleet.effects import Effects
+from quincepier.net.fleet.follower import Follower
+from quincepier.net.fleet.kept import Kept
+from quincepier.net.fleet.seat import Seat
+from quincepier.net.fleet.tally import Tally
+from quincepier.net.fleet.threads import Thread
+from quincepier.net.fleet.words import Granted, Report, Told, Turn
+from quincepier.rules import (
+    Ask,
+    Change,
+    FrontReport,
+    Grant,
+    Order,
+    OrderStep,
+    Pace,
+    RulesError,
+    RuleVersion,
+    decode,
+    encode,
+    first,
+)
+from quincepier.state.store import Files
+from quincepier.state.voterlog import VoterLog
+from tests.test_fleet_shell import HOSTS, machine
+
+VOTERS = ("a", "b", "c")
+PACE = Pace(lease=1000 * clock.MS, every=250 * clock.MS)
+DRAINS = Order("w", "s-1", "cache", "z1", OrderStep.DRAINING, 0)
+
+
+def version(number: int, *orders: Order) -> RuleVersion:
+    return msgspec.structs.replace(first(), number=number, term=1, orders=orders)
+
+
+# The seat
+
+
+class Slow(VoterLog):
+    """A disk that can be told to hang or to fail."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(Files(folder))
+        self.fails = False
+
+    def save(self, records: Any) -> int:
+        if self.fails:
+            raise OSError("no space left")
+        return super().save(records)
+
+
+class Hasty(Seat):
+    """Mutant: says what rests on a record before that is on disk."""
+
+    def _perform(self, actions: Any) -> None:
+        super()._perform([at_once(a) for a in actions])
+
+
+def at_once(action: Any) -> Any:
+    return replace(action, after=0) if hasattr(action, "after") else action
+
+
+async def three(folder: Path, kind: Callable[..., Seat], fails: str = "") -> dict[str, Any]:
+    """Three voters in one loop until one leads and an entry is agreed, or two seconds are over."""
+    seats, agreed, said = dict[str, Seat](), dict[str, bytes](), list[tuple[str, str]]()
+    loop = asyncio.get_running_loop()
+
+    def send(me: str) -> Callable[[str, bytes], None]:
+        def out(to: str, raw: bytes) -> None:
+            said.append((me, to))
+            loop.call_soon(seats[to].heard, me, raw)
+
+        return out
+
+    def hear(me: str) -> Callable[[Committed | Role], None]:
+        def heard(what: Committed | Role) -> None:
+            if isinstance(what, Committed) and what.data:
+                agreed[me] = what.data
+
+        return heard
+
+    checks = Checks()
+    for n, name in enumerate(VOTERS):
+        disk = Slow(folder / name)
+        disk.fails = name == fails
+        seats[name] = kind(name, VOTERS, disk, Thread(name), n, send(name), hear(name), checks)
+    for seat in seats.values():
+        seat.open()
+    end, proposed = loop.time() + 8.0, False
+    while loop.time() < end and len(agreed) < (2 if fails else 3):
+        for seat in seats.values():
+            if clock.boot() >= seat.wake:
+                seat.tick()
+        leader = next((s for s in seats.values() if s.leads), None)
+        if leader is not None and not proposed:
+            proposed = True
+            leader.propose(b"one")
+        await asyncio.sleep(0.01)
+        if fails and not proposed and loop.time() > end - 4.0:
+            break
+    return {"agreed": agreed, "said": said, "checks": checks}
+
+
+def test_three_voters_with_disks_agree(tmp_path: Path) -> None:
+    found = asyncio.run(three(tmp_path, Seat))
+    assert found["agreed"] == dict.fromkeys(VOTERS, b"one")
+
+
+@pytest.mark.parametrize("kind", [Seat, Hasty])
+def test_a_voter_whose_disk_fails_says_nothing_that_rests_on_it(tmp_path: Path, kind: Any) -> None:
+    """All that the first start says rests on its first record, so its disk shows by silence."""
+    found = asyncio.run(three(tmp_path, kind, fails="a"))
+    silent = not [to for me, to in found["said"] if me == "a"]
+    assert silent is (kind is Seat) and found["checks"].counts["voter silent"] > 0
+
+
+# The follower
+
+
+def report(front: str, number: int, digest: str = "") -> FrontReport:
+    return FrontReport(front, 1, number, digest or version(number).digest, False, 0)
+
+
+def test_a_follower_finds_the_leader_and_adopts_what_is_newer() -> None:
+    f = Follower("f", VOTERS, 1, 0, PACE, 7)
+    to, word = f.due(0, lambda: report("f", 0)) or ("", None)
+    assert to in VOTERS and isinstance(word, Report)
+    other = next(v for v in VOTERS if v != to)
+    assert not f.heard(1, to, Turn(word.ask.token, other)) and f.asks == other
+    assert f.due(PACE.every // 2, lambda: report("f", 0)) is not None  # soon, and there
+    grant = Grant(1, f.holder.token, 3, 0)
+    assert f.heard(2, other, Granted(1, grant, encode(version(3)))) and f.version.number == 3
+    assert f.cautious(3)  # a lease comes by the next ask alone
+    f.due(3 + PACE.every, lambda: report("f", 3))
+    f.heard(4 + PACE.every, other, Granted(1, Grant(1, f.holder.token, 3, 1000)))
+    assert not f.cautious(5 + PACE.every) and f.cautious(3 + PACE.every + PACE.lease)
+    assert not f.heard(6, "x", Told(1, encode(version(9)))) and f.version.number == 3  # of no voter
+    with pytest.raises(RulesError):
+        f.heard(7, other, Told(1, encode(version(9))[:-1]))
+
+
+def test_who_does_not_answer_is_not_asked_for_ever() -> None:
+    f, asked = Follower("f", VOTERS, 1, 0, PACE, 7), set[str]()
+    for n in range(40):
+        said = f.due(n * PACE.every, lambda: report("f", 0))
+        asked |= {said[0]} if said else set()
+    assert asked == set(VOTERS)
+
+
+# The chair
+
+
+def chair_of(planner: Any, leads: bool = True) -> tuple[Chair, list[bytes], Any]:
+    proposed: list[bytes] = []
+    voter = SimpleNamespace(term=1, lease_until=1 << 60)
+    seat: Any = SimpleNamespace(voter=voter, leads=leads, leader="b", propose=proposed.append)
+    chair = Chair("a", VOTERS, seat, PACE, lambda: [planner], dict, lambda: VOTERS, Checks())
+    return chair, proposed, seat
+
+
+def test_one_proposal_at_a_time_and_numbers_above_all_that_fronts_decide_by() -> None:
+    def planner(agreed: RuleVersion, seen: Any) -> Change:
+        return Change("again", orders=(*agreed.orders, DRAINS))
+
+    chair, proposed, seat = chair_of(planner)
+    chair.turn(0)
+    chair.turn(clock.SECOND)
+    assert [decode(raw).number for raw in proposed] == [1]  # none more until it is agreed, or lost
+    assert chair.committed(decode(proposed[0])) and not chair.committed(decode(proposed[0]))
+    assert chair.asked(2 * clock.SECOND, Report(Ask(1, report("f", 40)))) is None  # no lease by it
+    chair.turn(2 * clock.SECOND)
+    assert decode(proposed[-1]).number == 41
+    answer = chair.asked(2 * clock.SECOND, Report(Ask(2, report("g", 0))))
+    assert isinstance(answer, Granted) and answer.grant.lease_ms == 0 and answer.raw == proposed[0]
+    seat.leads = False
+    chair.turn(3 * clock.SECOND)
+    assert len(proposed) == 2 and chair.ledger is None
+    turned = chair.asked(3 * clock.SECOND, Report(Ask(3, report("g", 0))))
+    assert turned == Turn(3, "b")
+
+
+def test_a_planner_that_breaks_stops_nothing_else() -> None:
+    def planner(agreed: RuleVersion, seen: Any) -> Change:
+        raise ValueError("a defect")
+
+    chair, proposed, _ = chair_of(planner)
+    chair.turn(0)
+    assert len(proposed) == 1 and chair.checks.counts["exception in a planner"] == 1
+
+
+# Effects
+
+
+def front(kept: RuleVersion | None = None, effects: Any = Effects) -> tuple[Any, Follower, list[ListNews]]:
+    told: list[ListNews] = []
+    classes = (SimpleNamespace(effect=Effect.SAFE, worth=1.0, on_time=clock.SECOND),)
+    entries = {
+        h: SimpleNamespace(machine=machine(n, CacheState.READY), record=SimpleNamespace(host=h))
+        for n, h in HOSTS.items()
+    }
+    module: Any = SimpleNamespace(
+        checks=Checks(),
+        directory=SimpleNamespace(hosts=HOSTS, entries=entries),
+        config=SimpleNamespace(settings=SimpleNamespace(classes=classes)),
+        router=SimpleNamespace(homes=None, nodes={}),
+        requests=SimpleNamespace(open={}),
+        told_of_list=told.append,
+    )
+    rules: Any = SimpleNamespace(
+        leaving=lambda v, cautious: leaving(v, cautious, "f"), homes=lambda *about: None, notice=1 << 60
+    )
+    follower = Follower("f", VOTERS, 1, clock.boot(), PACE, 7)
+    made = effects(module, follower, rules, 10)
+    made.kept = kept
+    return made, follower, told
+
+
+def lease(follower: Follower, number: int, lasts: int = 1000) -> None:
+    follower.due(follower.holder.next, lambda: report("f", number))
+    follower.holder.asked[follower.holder.token] = clock.boot()
+    follower.heard(clock.boot(), "a", Granted(1, Grant(1, follower.holder.token, number, lasts)))
+
+
+WAITS = msgspec.structs.replace(DRAINS, step=OrderStep.WAITING)
+
+
+class Trusting(Effects):
+    """Mutant: a lease that ran out is not looked at before a decision."""
+
+    def before(self, now: int) -> None: ...
+
+    def stale(self) -> bool:
+        return False
+
+
+@pytest.mark.parametrize("kind", [Effects, Trusting])
+def test_who_lost_its_lease_keeps_from_machines_with_open_orders_before_its_next_decision(kind: Any) -> None:
+    effects, follower, told = front(effects=kind)
+    follower.heard(clock.boot(), "a", Told(1, encode(version(2, WAITS))))
+    effects.apply()
+    lease(follower, 2)
+    effects.apply()
+    assert not effects.cautious and not effects.stale() and not told[-1].machines[0].state.value
+    follower.holder.until = clock.boot()  # as after a standstill
+    right = effects.stale()
+    effects.before(clock.now())
+    right = right and told[-1].machines == (machine(1, CacheState.DRAINING),)
+    assert right is (kind is Effects)
+
+
+def test_a_start_in_the_middle_of_an_order_keeps_from_what_it_knew(tmp_path: Path) -> None:
+    kept = Kept(str(tmp_path))
+    assert kept.load() is None
+    kept.save(version(5, WAITS))
+    effects, follower, told = front(kept.load())
+    effects.apply()
+    assert told[-1].machines[0].state is CacheState.DRAINING and effects.report().number == 0
+    follower.heard(clock.boot(), "a", Told(1, encode(version(6))))
+    effects.apply()
+    assert told[-1].machines == (machine(1, CacheState.READY),)
+    (tmp_path / "adopted").write_bytes(b"spoilt")
+    with pytest.raises(RulesError):
+        kept.load()
+
+
+def test_a_line_of_the_log_does_not_lift_an_order() -> None:
+    effects, follower, _ = front()
+    follower.heard(clock.boot(), "a", Told(1, encode(version(2, DRAINS))))
+    lease(follower, 2)
+    effects.apply()
+    news = effects.listed(ListNews(ListScope.CHANGES, (machine(1, CacheState.READY),)))
+    assert news.machines[0].state is CacheState.DRAINING
+
+
+# Reports
+
+
+def test_a_report_counts_its_span_and_what_is_open_now() -> None:
+    cls: Any = SimpleNamespace(effect=Effect.KEYED, worth=2.0, on_time=clock.SECOND)
+    tally = Tally((cls,), 0, 2)
+    attempt: Any = SimpleNamespace(cache=1, source=2, ended=False)
+    request: Any = SimpleNamespace(cls=0, tenant="acme", shard="north", came=0, attempts=[attempt])
+    attempt.request = request
+    tally.sent(attempt, 0)
+    tally.answered(request, 200, clock.SECOND // 2)
+    tally.ended(request, Note.HIT, clock.SECOND // 2)
+    about = report("f", 2)
+    told = tally.report(clock.SECOND, about, [request], [], {1: "s-1", 2: "p-1"})
+    assert dict(told.open_at) == {"s-1": 1, "p-1": 1} and told.open_keyed == (("acme", "north", 1),)
+    assert dict(told.sent) == {"s-1": 1} and told.last_keyed == (("acme", "north", 1000),)
+    rows = {(s.tenant, s.shard): (s.asked, s.in_time, s.hits) for s in told.service}
+    assert rows == dict.fromkeys((("", ""), ("acme", ""), ("acme", "north")), (1, 2.0, 1))
+    tally.begin(2 * clock.SECOND)  # another version
+    assert tally.report(2 * clock.SECOND, about, [], [], {}).service[0].asked == 0
+
+
+def test_nothing_of_it_is_imported_without_its_sections() -> None:
+    code = (
+        "import sys, quincepier.lifecycle.front, quincepier.lifecycle.operators\n"
+        "wrong = [m for m in sys.modules if m.startswith('quincepier.') and m.split('.')[1] in\n"
+        "         ('consensus', 'consistency', 'maintenance', 'membership', 'rules', 'tenancy')\n"
+        "         or m.startswith(('quincepier.net.fleet', 'quincepier.net.peers'))]\n"
+        "assert not wrong, wrong"
+    )
+    subprocess.run([sys.executable, "-c", code], check=True, timeout=60)
+
