--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -257,7 +257,8 @@
         self.checks.count("versions agreed")
         word = Told(what.term, encode_version(version))
         if chair.ledger is not None:  # one that leads tells all
-            steps.tell(before, version, chair.why.pop(version.number, ""))
+            took = (clock.boot() - chair.proposed_at) / clock.MS
+            steps.tell(before, version, chair.why.pop(version.number, ""), took)
             for front in self.peers.view:
                 if front != self.name:
                     self._say(front, word)
--- a/quincepier/net/fleet/steps.py
+++ b/quincepier/net/fleet/steps.py
@@ -11,9 +11,11 @@
 LINES_MOST = 50  # of one version
 
 
-def tell(before: RuleVersion, after: RuleVersion, why: str) -> None:
-    """By whoever leads, once for a version."""
-    told = logger.bind(event="version agreed", number=after.number, term=after.term, why=why)
+def tell(before: RuleVersion, after: RuleVersion, why: str, took_ms: float) -> None:
+    """By whoever leads, once for a version; `took_ms` since it was proposed."""
+    told = logger.bind(
+        event="version agreed", number=after.number, term=after.term, why=why, took_ms=round(took_ms, 1)
+    )
     told.info("version {} agreed in term {}: {}", after.number, after.term, why or "nothing told")
     for n, (kind, entry, name) in enumerate(_differ(before, after)):
         if n >= LINES_MOST:
