--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -95,7 +95,10 @@
 
     def before(self, now: int) -> None:
         if not self.cautious and not self.busy and self.follower.cautious(clock.boot()):
-            self.apply()
+            try:
+                self.apply()
+            except Exception as error:  # a defect: the request that is decided next is not to fail for it
+                self.checks.event("exception in the fleet", f"{type(error).__name__}: {error}")
 
     def listed(self, news: ListNews) -> ListNews:
         if self.homes is not None:
--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -81,6 +81,7 @@
         self.effects = Effects(module, self.follower, rules, section.span_s)
         self.rules, self.compared = rules, compared
         self.effects.applied = self._applied
+        module.settled = self.effects  # from the first line of the list on, which it counts
         folder = section.place(self.name)
         self.kept, self.keeping, self.to_keep = Kept(folder), False, -1
         self.disk: Thread | None = None
@@ -99,7 +100,7 @@
     async def start(self) -> None:
         """Take part, and wait a little for what the fleet has agreed: it may say what not to send to."""
         module, name = self.module, self.name
-        module.settled, module.shared.stale = self.effects, self.effects.stale
+        module.shared.stale = self.effects.stale
         self.disk = Thread("rules kept")
         try:
             kept = await asyncio.wait_for(self.disk.done(self.kept.load), KEPT_WITHIN)
