--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -181,6 +181,8 @@
     fleet: Fleet = Fleet()
     load: Load = Load()
     faults: Annotated[tuple[Fault, ...], msgspec.Meta(max_length=100)] = ()
+    voters: Annotated[int, msgspec.Meta(ge=0, le=7)] = 0  # fronts that vote, by processes; 0: none settle
+    wishes: Annotated[str, msgspec.Meta(max_length=100_000)] = ""  # further sections of the operators' file
     variants: Annotated[tuple[Variant, ...], msgspec.Meta(max_length=10)] = (Variant("as it is"),)
 
     def __post_init__(self) -> None:
--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -31,6 +31,7 @@
 from quincepier.lab.fleet import child, disk, load, relay, standins
 from quincepier.lab.fleet.evidence import Evidence, FleetRun, Part, Story
 from quincepier.lab.fleet.places import front_address, pair_address
+from quincepier.lab.fleet.settling import sections
 from quincepier.lab.fleet.setup import configuration, settings
 
 ROOT = Path(quincepier.__file__).parent.parent
@@ -132,7 +133,7 @@
     def prepare(self) -> None:
         self.state.mkdir(parents=True)
         rig = self.rig
-        text = rig.operators(self.number, rig) if rig.operators else ""
+        text = rig.operators(self.number, rig) if rig.operators else rig.settling(self.number)
         if every := rig.experiment.keeps(rig.variant, self.number):
             text += f"\nstate: {{folder: {self.state}, every_s: {every}}}\n"
         self.told = self.folder / "operator.yaml" if text else None
@@ -303,8 +304,16 @@
         elif hard < wanted:
             raise RigError(f"{wanted} descriptors are wanted for so many pairs, {hard} are allowed")
 
+    def settling(self, front: int) -> str:
+        """The operators' file of a front that settles things with the others, "" where none does."""
+        plan, ports = self.experiment, (self.peer_port, self.ports.get("peers", 0))
+        if not plan.voters:
+            return ""
+        return sections(front, plan.fleet.fronts, plan.voters, *ports, str(self.folder)) + plan.wishes
+
     def _peers(self) -> bool:
-        return self.operators is not None or any(f.path is NetPath.PEERS for f in self.experiment.faults)
+        faults = any(f.path is NetPath.PEERS for f in self.experiment.faults)
+        return faults or self.operators is not None or self.experiment.voters > 0
 
     def _folder(self) -> Path:
         try:
--- a/tests/agreementrig.py
+++ b/tests/agreementrig.py
@@ -18,10 +18,10 @@
 
 from quincepier.lab.experiment import SECOND, load
 from quincepier.lab.fleet.evidence import FleetRun, _read
-from quincepier.lab.fleet.places import front_address, pair_address
 from quincepier.lab.fleet.rig import FrontProcess, Rig
+from quincepier.lab.fleet.settling import sections
 
-VOTERS = (0, 1, 2)
+VOTERS = 3
 MS = 1_000_000
 EXPERIMENT = """
 name: agreement
@@ -51,13 +51,13 @@
 
 
 class Fronts(Rig):
-    """`story` is told the rig once the load is on; the run ends as it ends. `sections`: more of each file."""
+    """`story` is told the rig once the load is on; the run ends as it ends. `wishes`: more of each file."""
 
     def __init__(
         self,
         folder: Path,
         story: Callable[[Fronts], Awaitable[None]],
-        sections: str = "",
+        wishes: str = "",
         text: str = EXPERIMENT,
         lease: str = "",
     ) -> None:
@@ -69,7 +69,7 @@
             str(path), experiment, experiment.variants[0], 1, operators=self._file,
             keep=str(Path(keep) / folder.parent.name / folder.name) if keep else None,
         )  # fmt: skip
-        self.told, self.sections, self.lease = story, sections, lease
+        self.told, self.sections, self.lease = story, wishes, lease
         self.offset = time.time_ns() - time.monotonic_ns()
         self.read: dict[int, tuple[int, list[Line]]] = {}
         self.failed: BaseException | None = None
@@ -77,30 +77,14 @@
         self.lines: list[Line] = []
 
     def _file(self, front: int, rig: Rig) -> str:
-        def at(other: int) -> str:
-            if other == front:
-                return f"{front_address(front)}:{self.peer_port}"
-            return f"{pair_address(front, other)}:{self.ports['peers']}"
-
-        count = self.experiment.fleet.fronts
-        book = ", ".join(f'n{n}: "{at(n)}"' for n in range(count))
-        voters = ", ".join(f'n{n}: "{at(n)}"' for n in VOTERS)
-        return f"""
-log: {{format: json}}
-members: {{fleet: test, fronts: {{{book}}}}}
-agreement:
-  voters: {{{voters}}}
-  folder: {self.folder}/front-{front}/rules-{{name}}
-  {self.lease}
-consistency: {{every_s: 2, sample: 32, witnessed: 1}}
-{self.sections}
-"""
+        count, ports = self.experiment.fleet.fronts, (self.peer_port, self.ports["peers"])
+        return sections(front, count, VOTERS, *ports, str(self.folder), self.lease) + self.sections
 
     # What a story does
 
-    def wish(self, sections: str) -> None:
+    def wish(self, wishes: str) -> None:
         """Other wishes in every front's file, read again."""
-        self.sections = sections
+        self.sections = wishes
         for front in self.fronts:
             assert front.told is not None
             front.told.write_text(self._file(front.number, self))
--- a/tests/test_agreement_processes.py
+++ b/tests/test_agreement_processes.py
@@ -219,7 +219,7 @@
         fronts = None if front is None else (front,)
         return [line for line in rig.said("version adopted", fronts) if line.at > since - SECOND]
 
-    rig = Fronts(tmp_path, story, sections=SHARDS, text=TENANTS_TEXT, lease="span_s: 2")
+    rig = Fronts(tmp_path, story, wishes=SHARDS, text=TENANTS_TEXT, lease="span_s: 2")
     run = told(rig)
     assert not run.accused and not run.figures.broken, (run.accused, run.figures.first_broken)
     assert keyed(rig, (1, 2)) and not keyed(rig, NORTH)
