--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -116,6 +116,7 @@
     def wishes(self, fleet: Fleet) -> None:
         """The file as it holds now, read again."""
         fleet.rules.take(self.file)
+        fleet.effects.apply()
 
     @property
     def places(self) -> Places | None:
--- a/quincepier/net/fleet/alike.py
+++ b/quincepier/net/fleet/alike.py
@@ -47,7 +47,7 @@
         self.checker = Checker(module.config.name, seed, section, clock.boot(), memory=memory)
         self.witness = Witness(module.router, section.witnessed, seed, self._breach)
         module.router.witness = self.witness
-        self.had = (-1, -1, "")  # revision of the list, number and digest of the version
+        self.had = (-1, -1, "", -1)  # revision of the list, version and its digest, file
         self.viewed: tuple[object, ...] = ()
         peers.channel(ALIKE, self.heard)
 
@@ -59,7 +59,7 @@
             self.checker.view(*view)
         version = self.effects.version
         digest = version.digest if version.number != self.had[1] else self.had[2]
-        had = (self.effects.revision, version.number, digest)
+        had = (self.effects.revision, version.number, digest, self.rules.taken)
         if had != self.had:
             self.had = had
             self._have(version)
--- a/quincepier/net/fleet/bearing.py
+++ b/quincepier/net/fleet/bearing.py
@@ -33,6 +33,7 @@
         self.named = frozenset[str]()
         self.waits: tuple[str, ...] = ()
         self.tenants: Tenants | None = None
+        self.taken = 0  # files
         self.take(file)
 
     def take(self, file: OperatorFile) -> None:
@@ -43,7 +44,7 @@
         self.named, self.waits = named(wished), ()
         # an order that nobody wishes any more is ended by the same plan: there is one without a section
         self.plans = [lambda version, seen: self._orders(wished, version, seen)]
-        self.tenants, self.notice = None, NOTICE
+        self.tenants, self.notice, self.taken = None, NOTICE, self.taken + 1
         if file.named("tenants") is not None:
             self._tenants(file)
 
--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -38,6 +38,7 @@
         self.cautious, self.since = True, clock.boot()
         self.unsure = False
         self.number, self.seq, self.revision, self.doubt = -1, 0, 0, ""
+        self.taken = -1
         self.applied: Callable[[], None] = lambda: None  # told after each change
         self.busy = False
 
@@ -64,8 +65,10 @@
             self.since = now
         # a move may have begun since that this front can't know of
         unsure = cautious and (not version.number or now - self.since > self.bearing.notice)
-        if (version.number, cautious, unsure) == (self.number, self.cautious, self.unsure):
+        as_before = (version.number, cautious, unsure) == (self.number, self.cautious, self.unsure)
+        if as_before and self.taken == self.bearing.taken:
             return
+        self.taken = self.bearing.taken  # another file tells tenants apart in another way
         if version.number != self.number:
             self.tally.begin(clock.now())
         changed = cautious != self.cautious
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -228,7 +228,10 @@
         told_of_list=told.append,
     )
     rules: Any = SimpleNamespace(
-        leaving=lambda v, cautious: leaving(v, cautious, "f"), homes=lambda *about: None, notice=1 << 60
+        leaving=lambda v, cautious: leaving(v, cautious, "f"),
+        homes=lambda *about: None,
+        notice=1 << 60,
+        taken=1,
     )
     follower = Follower("f", VOTERS, 1, clock.boot(), PACE, 7)
     made = effects(module, follower, rules, 10)
