--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from quincepier.lifecycle import logs
-from quincepier.operator import LogSection, OperatorFile, load
+from quincepier.operator import LogSection, OperatorError, OperatorFile, load
 from quincepier.wire.changelog import Judge
 
 if TYPE_CHECKING:
@@ -27,12 +27,33 @@
 AT_A_START = ("addresses", *ONLY_AT_A_START)  # sections that come and go only at a start
 
 
+NEEDS = {
+    "agreement": "members",
+    "maintenance": "agreement",
+    "tenants": "agreement",
+    "consistency": "agreement",
+}  # what a section would do nothing without
+
+
+def checked(path: str) -> OperatorFile:
+    """The file at a path; OperatorError also where a section lacks the one that it needs."""
+    file = load(path)
+    lacks = [
+        f"{path}: {name}: needs the section {other}: add it, or take {name} out"
+        for name, other in NEEDS.items()
+        if file.named(name) is not None and file.named(other) is None
+    ]
+    if lacks:
+        raise OperatorError(lacks)
+    return file
+
+
 class Operators:
     """The file as it holds now."""
 
     def __init__(self, path: str) -> None:
         """Raises OperatorError with all that is wrong with the file."""
-        self.path, self.file = path, load(path)
+        self.path, self.file = path, checked(path)
         self.divider: Divider | None = None
 
     @property
@@ -130,7 +151,7 @@
 
     def again(self) -> OperatorFile:
         """The file read anew, checked and not yet in force; raises OperatorError."""
-        return load(self.path)
+        return checked(self.path)
 
     def take(self, file: OperatorFile, module: ModuleActor, shop: Shop) -> tuple[list[str], list[str]]:
         """Put a file in force that was read anew: the sections that changed, and those left for a start."""
--- a/tests/test_fleet_shell.py
+++ b/tests/test_fleet_shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -11,6 +12,7 @@
 from hypothesis import strategies as st
 
 from quincepier.interface import CacheState, ListNews, ListScope, Machine
+from quincepier.lifecycle.operators import Operators
 from quincepier.net.fleet import words
 from quincepier.net.fleet.overlay import Overlay
 from quincepier.operator import OperatorError, read
@@ -112,3 +114,12 @@
         assert words.decode(words.encode(word)) == word
     for raw in (b"", b"\xc1", words.encode([9, 1]), words.encode(report)[:-2], bytes(words.WORD_MOST + 1)):
         assert words.decode(raw) is None
+
+
+def test_a_section_that_would_do_nothing_alone_is_refused(tmp_path: Path) -> None:
+    place = tmp_path / "operator.yaml"
+    place.write_text(GOOD + "maintenance: {}\n")
+    with pytest.raises(OperatorError, match="agreement: needs the section members: add it"):
+        Operators(str(place))
+    place.write_text(GOOD + "members: {fleet: web, fronts: {a: '127.0.0.1:1'}}\nmaintenance: {}\n")
+    assert Operators(str(place)).file.names == ["members", "agreement", "maintenance"]
