--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -23,6 +23,7 @@
     RuleVersion,
     Seen,
     apply,
+    decode,
     encode,
     first,
 )
@@ -142,11 +143,17 @@
             self.checks.event("changes that exclude each other", error.line())
             changes = changes[:1]
             version = apply(base, self.term, tuple(changes))
+        raw = encode(version)
+        try:
+            decode(raw)
+        except RulesError as error:  # a defect of a planner: what no front could read is not agreed
+            self.checks.event("version not proposed", error.line())
+            return
         self.ahead, self.proposed, self.proposed_at = 0, version.number, now
         told = "; ".join(c.why for c in changes)
         self.why = {version.number: told or "the first, or numbers go on above the fronts'"}
         self.checks.count("versions proposed")
-        self.seat.propose(encode(version))
+        self.seat.propose(raw)
 
     def _wanted(self, seen: Seen) -> Iterable[Change]:
         for planner in self.planners():
--- a/quincepier/rules/version.py
+++ b/quincepier/rules/version.py
@@ -15,6 +15,7 @@
 from quincepier.rules.errors import RulesError
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+ShardName = Annotated[str, msgspec.Meta(max_length=64)]  # name of a shard, "" for the common home
 Why = Annotated[str, msgspec.Meta(max_length=200)]
 ORDERS_MOST, MOVES_MOST, SHARDS_MOST, HOMES_MOST = 4096, 64, 64, 4096
 VERSION_MOST = 1 << 20  # bytes of an encoded version
@@ -79,7 +80,7 @@
     or, where no line names any, all caches."""
 
     tenant: Name
-    shard: Name
+    shard: ShardName
 
 
 class MoveStep(IntEnum):
@@ -99,8 +100,8 @@
 
     wish: Name
     tenant: Name
-    old: Name
-    new: Name
+    old: ShardName
+    new: ShardName
     step: MoveStep
     since: int  # number of the version in which it entered this step
     part: Annotated[int, msgspec.Meta(ge=0, le=PARTS)] = 0  # of the keys that go to the new home, of PARTS
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -32,6 +32,9 @@
     Change,
     FrontReport,
     Grant,
+    Home,
+    Move,
+    MoveStep,
     Order,
     OrderStep,
     Pace,
@@ -200,6 +203,18 @@
     assert turned == Turn(3, "b")
 
 
+def test_what_no_front_could_read_is_not_proposed() -> None:
+    def planner(agreed: RuleVersion, seen: Any) -> Change:
+        return Change("a defect", orders=(msgspec.structs.replace(DRAINS, wish=""),))
+
+    chair, proposed, _ = chair_of(planner)
+    chair.turn(0)
+    assert not proposed and chair.checks.counts["version not proposed"] == 1
+    move = Move("m", "acme", "", "north", MoveStep.PLANNED, 1)
+    common = msgspec.structs.replace(first(), homes=(Home("acme", ""),), moves=(move,))
+    assert decode(encode(common)).home_of("acme") == ""
+
+
 def test_a_planner_that_breaks_stops_nothing_else() -> None:
     def planner(agreed: RuleVersion, seen: Any) -> Change:
         raise ValueError("a defect")
