--- a/tests/test_agreement_processes.py
+++ b/tests/test_agreement_processes.py
@@ -198,7 +198,10 @@
     async def story(rig: Fronts) -> None:
         first = await rig.leader()
         rig.wish(SHARDS + "  moves: [{id: m1, tenant: acme, to: north}]\n")
-        await rig.line("move step", tenant="acme", step="warming")
+        await rig.until(
+            lambda: [m for m in rig.said("move step", tenant="acme") if m.fields["part"] >= 20],
+            "a part of the keys goes to the new home",
+        )
         begun = rig.now
         await rig.until(lambda: len({m.front for m in adopted(rig, begun)}) == 5, "all know of the move")
         some = (first, 3)
