--- a/quincepier/addresses/grammar.py
+++ b/quincepier/addresses/grammar.py
@@ -12,15 +12,19 @@
 from parsy import ParseError, Parser, eof, generate, index, regex, string
 
 from quincepier.addresses.address import Address, Family
+from quincepier.errors import QuincepierError
 
 TEXT_MOST = 256  # characters of an address; nothing longer is looked at
 SUN_PATH = 108  # bytes, unix(7): a path ends in a NUL byte, a name of the abstract space begins with one
 PORT_MOST = 65535
 
 
-class AddressError(ValueError):
+class AddressError(QuincepierError, ValueError):
     """A text that is no address or term. `column` counts from 1 and tells where it stops being one."""
 
+    code = "QP-ADDRESS"
+    remedy = "correct the address at the column that it names, in the list or in the operators' file"
+
     def __init__(self, text: str, column: int, wanted: str) -> None:
         shown = text if len(text) <= 60 else text[:57] + "..."
         super().__init__(f"{shown!r}, column {column}: {wanted}")
--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from quincepier.errors import QuincepierError
 from quincepier.interface import Effect, Group, RequestClass, Settings
 from quincepier.wire.changelog import ChangeEvent, FleetChange, Judge, read_address, read_changes
 from quincepier.wire.errors import ProtocolError
@@ -36,9 +37,12 @@
 Word = TypeVar("Word", bound=Enum)
 
 
-class SettingsError(Exception):
+class SettingsError(QuincepierError):
     """Settings that lack a key or hold one that cannot be read; the text names the key."""
 
+    code = "QP-SETTINGS"
+    remedy = "correct the key that it names; check-config tells before a start"
+
 
 class _Conf:
     def __init__(self, pairs: Mapping[str, str]) -> None:
--- a/quincepier/consensus/words.py
+++ b/quincepier/consensus/words.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from quincepier.consensus.errors import ConsensusError
+from quincepier.errors import Inflicted
 from quincepier.state.voterrecords import Base, Line, Name, Number, Roster
 
 VERSION = 1
@@ -18,7 +20,7 @@
 Any_ = Annotated[str, msgspec.Meta(max_length=32)]
 
 
-class BadWord(ValueError):
+class BadWord(Inflicted, ConsensusError, ValueError):
     """A word that is none of ours; it is dropped and counted."""
 
 
--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -46,6 +46,9 @@
 class RigError(SettingsError):
     """The rig can't be set up here: what is in the way, in a line."""
 
+    code = "QP-RIG"
+    remedy = "make room for it on this machine (descriptors, ports, cores), or play fewer fronts"
+
 
 class Child:
     """A process of the rig's own, with its two lines of words."""
--- a/quincepier/lab/world.py
+++ b/quincepier/lab/world.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from quincepier import interface as io
+from quincepier.errors import QuincepierError
 from quincepier.interface import CacheState, Effect, Ending, ListScope, Note
 from quincepier.lab.experiment import (
     EDGE,
@@ -44,9 +45,12 @@
 LEAST_PART = 0.8  # of `start_s`: starts are spread from there to 1.2 times
 
 
-class CannotPlay(ValueError):
+class CannotPlay(QuincepierError, ValueError):
     """An experiment that needs processes and sockets."""
 
+    code = "QP-LAB"
+    remedy = "play it by `lab fleet`"
+
 
 class Attempt:
     """One attempt; a machine sees it as an order."""
--- a/quincepier/membership/words.py
+++ b/quincepier/membership/words.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from quincepier.errors import Inflicted
+
 VERSION = 1
 DATAGRAM_MOST = 1400  # bytes: one frame of an Ethernet, with what goes round it
 WHOLE_MOST = 4 * 1024 * 1024  # bytes of a whole view, over TCP
@@ -22,9 +24,12 @@
 Address = tuple[Host, Port]
 
 
-class BadWords(ValueError):
+class BadWords(Inflicted, ValueError):
     """A datagram that is none of ours; it is dropped and counted."""
 
+    code = "QP-MEMBERS"
+    remedy = "check that `members.fleet` and the build are alike at all fronts, and who else sends there"
+
 
 class Kind(IntEnum):
     PING = 0
--- a/quincepier/operator/reading.py
+++ b/quincepier/operator/reading.py
@@ -24,6 +24,9 @@
 class OperatorError(SettingsError):
     """A file that can't be used: all that is wrong with it, a line each, `FILE:LINE: key: why`."""
 
+    code = "QP-OPERATOR"
+    remedy = "correct each line that it names; check-config --operator tells before a start"
+
     def __init__(self, faults: list[str]) -> None:
         more = len(faults) - FAULTS_MOST
         super().__init__("\n".join(faults[:FAULTS_MOST] + ([f"and {more} more"] if more > 0 else [])))
--- a/quincepier/simwire.py
+++ b/quincepier/simwire.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from quincepier.config import read_settings
+from quincepier.errors import QuincepierError
 from quincepier.interface import (
     Action,
     Ask,
@@ -71,9 +72,12 @@
 }
 
 
-class WireError(Exception):
+class WireError(QuincepierError):
     """A frame that is malformed; the text says how."""
 
+    code = "QP-SIM"
+    remedy = "check that the simulator speaks this version of its wire"
+
 
 @dataclass(slots=True, frozen=True)
 class Started:
--- a/quincepier/state/record.py
+++ b/quincepier/state/record.py
@@ -12,6 +12,8 @@
 import xxhash
 import zstandard
 
+from quincepier.errors import QuincepierError
+
 MAGIC = b"qpst"
 HEAD = struct.Struct("<4sHHQII")
 DIGEST = 16
@@ -33,9 +35,12 @@
     FOLDER = "the folder can't be used"
 
 
-class StateError(Exception):
+class StateError(QuincepierError):
     """The one error of this package: what is wrong, and at which byte where that can be told (else -1)."""
 
+    code = "QP-STATE"
+    remedy = "see `quincepier state check FOLDER`; `state prune` takes away what is damaged"
+
     def __init__(self, fault: Fault, detail: str = "", offset: int = -1) -> None:
         at = f" at byte {offset}" if offset >= 0 else ""
         super().__init__(f"{fault.value}{at}{': ' if detail else ''}{detail}")
--- a/quincepier/tenancy/gap.py
+++ b/quincepier/tenancy/gap.py
@@ -5,12 +5,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from quincepier import clock
 from quincepier.interface import Effect, RequestClass
-from quincepier.tenancy.section import TenantsSection
+from quincepier.tenancy.section import SECOND, TenantsSection
 
 ALLOW_TIMES = 2  # of its class's deadline: what a client may say at most that it waits (translate.py)
-DELIVERY = clock.SECOND  # latest delivery: a command that its front gave up may begin so long after
+DELIVERY = SECOND  # latest delivery: a command that its front gave up may begin so long after
 
 
 def hold(classes: Iterable[RequestClass]) -> int:
@@ -31,4 +30,4 @@
 
     @classmethod
     def of(cls, section: TenantsSection, classes: Iterable[RequestClass]) -> Wishes:
-        return cls(section, hold(classes), int(section.notice_s * clock.SECOND))
+        return cls(section, hold(classes), int(section.notice_s * SECOND))
--- a/quincepier/tenancy/section.py
+++ b/quincepier/tenancy/section.py
@@ -12,6 +12,8 @@
 from quincepier.rules.version import HOMES_MOST, MOVES_MOST, SHARDS_MOST
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+MS = 1_000_000  # nanoseconds
+SECOND = 1000 * MS
 COMMON = "common"  # the word for the home of all who have no other; "" in a version
 ITEMS_MOST, CACHES_MOST = 64, 4096
 ITEM = re.compile(r"[0-9a-f]{1,16}")
--- a/quincepier/tenancy/steps.py
+++ b/quincepier/tenancy/steps.py
@@ -9,17 +9,16 @@
 
 from msgspec.structs import replace
 
-from quincepier import clock
 from quincepier.rules import Change, Home, Move, MoveStep, RuleVersion, Seen, Shard
 from quincepier.rules.version import MOVES_MOST, PARTS
 from quincepier.tenancy.gap import Wishes
 from quincepier.tenancy.growth import WARM_PART, cold_host, grown, ready_hosts, under_work
-from quincepier.tenancy.section import COMMON, MoveLine
+from quincepier.tenancy.section import COMMON, SECOND, MoveLine
 from quincepier.tenancy.verify import Verdict, compare, in_same_seconds, judge, unharmed
 
-CLOSING_MOST = 10 * clock.SECOND  # agreed for so long and not in force: repeats run at the old home again
+CLOSING_MOST = 10 * SECOND  # agreed for so long and not in force: repeats run at the old home again
 CLOSED_MOST = 32  # moves that are over and that no wish names, kept
-VERIFY_LEAST = 10 * clock.SECOND  # also the rest between two tries of closing
+VERIFY_LEAST = 10 * SECOND  # also the rest between two tries of closing
 Step = MoveStep
 
 
--- a/quincepier/tenancy/verify.py
+++ b/quincepier/tenancy/verify.py
@@ -12,9 +12,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from quincepier import clock
 from quincepier.rules import Seen, Service
-from quincepier.tenancy.section import COMMON
+from quincepier.tenancy.section import COMMON, MS
 
 Z_PASS, Z_FAIL = 1.645, 4.0  # one-sided: 5 in 100 by chance, and one in 30,000
 LEAST = 200  # answers at each home
@@ -75,7 +74,7 @@
 
 def in_same_seconds(seen: Seen) -> bool:
     """Whether all counts are of seconds in which the newest version was in force."""
-    return all(r.span_ms * clock.MS <= seen.in_force_for for r in seen.reports.values())
+    return all(r.span_ms * MS <= seen.in_force_for for r in seen.reports.values())
 
 
 def compare(seen: Seen, tenant: str, old: str, new: str, warm: bool) -> Finding:
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -9,6 +9,7 @@
 from quincepier import clock
 from quincepier import interface as io
 from quincepier.config import REPORT_WORDS, FrontConfig
+from quincepier.errors import Inflicted
 from quincepier.interface import Ending, Note
 from quincepier.memory.machines import Directory
 from quincepier.memory.requests import OpenAttempt, OpenRequest, Owner
@@ -44,9 +45,12 @@
 }
 
 
-class BadRequest(Exception):
+class BadRequest(Inflicted):
     """A request that can't be used: the status of its answer, and why."""
 
+    code = "QP-REQUEST"
+    remedy = "check the web server that sends it: the parameter is named"
+
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
         self.status = status
--- a/quincepier/wire/errors.py
+++ b/quincepier/wire/errors.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from quincepier.errors import Inflicted
 
-class ProtocolError(Exception):
+
+class ProtocolError(Inflicted):
     """What a peer sent can't be read; the text says what was wrong."""
+
+    code = "QP-WIRE"
+    remedy = "check the version of the machine, the web server or the change log that the log line names"
