--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,107 @@
+"""An operator who meets a code finds it in docs/oncall.md with one meaning, and is told what to do."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from collections.abc import Iterable
+from pathlib import Path
+
+import pytest
+
+import quincepier
+from quincepier.consensus.words import BadWord
+from quincepier.errors import Inflicted, QuincepierError
+from quincepier.membership import BadWords
+from quincepier.wire.errors import ProtocolError
+
+PAGE = Path(__file__).parent.parent / "docs" / "oncall.md"
+Kind = type[QuincepierError]
+
+
+def below(kind: Kind) -> Iterable[Kind]:
+    for one in kind.__subclasses__():
+        yield one
+        yield from below(one)
+
+
+def all_kinds() -> list[Kind]:
+    for found in pkgutil.walk_packages(quincepier.__path__, "quincepier."):
+        if found.name != "quincepier.__main__":
+            importlib.import_module(found.name)
+    ours = {kind for kind in below(QuincepierError) if kind.__module__.startswith("quincepier.")}
+    return sorted(ours - {Inflicted}, key=lambda kind: (kind.__module__, kind.__name__))
+
+
+def package(kind: Kind) -> str:
+    return ".".join(kind.__module__.split(".")[:2])
+
+
+def faults(kinds: Iterable[Kind], page: str) -> list[str]:
+    """What an operator would miss, a line each."""
+    rows = {line.split("|")[1].strip(" `"): line for line in page.splitlines() if line.startswith("| `QP-")}
+    owners, found = dict[str, Kind](), list[str]()
+    for kind in kinds:
+        first = owners.setdefault(kind.code, kind)
+        if package(first) != package(kind):
+            found.append(f"{kind.code}: of {package(first)} and of {package(kind)}")
+        if kind.code == QuincepierError.code or not kind.code.startswith("QP-"):
+            found.append(f"{kind.__name__}: no code of its own")
+        elif not all(cell.strip() for cell in rows.get(kind.code, "||||").split("|")[1:-1]):
+            found.append(f"{kind.code}: no row")
+        if not kind.remedy.strip() or kind.remedy == QuincepierError.remedy:
+            found.append(f"{kind.code}: no remedy")
+    return found + [f"{code}: a row for nothing" for code in rows if code not in owners]
+
+
+def test_each_code_has_one_meaning_a_remedy_and_a_row() -> None:
+    kinds = all_kinds()
+    assert len({package(kind) for kind in kinds}) >= 15  # the walk has been everywhere
+    assert faults(kinds, PAGE.read_text()) == []
+
+
+def made(module: str, **words: str) -> Kind:
+    return type("Made", (QuincepierError,), {"__module__": module, **words})
+
+
+@pytest.mark.parametrize(
+    ("planted", "told"),
+    [
+        ({"code": "QP-STATE", "remedy": "look"}, "QP-STATE: of planted.errors and of quincepier.state"),
+        ({"code": "QP-PLANTED", "remedy": "look"}, "QP-PLANTED: no row"),
+        ({"code": "QP-PLANTED", "remedy": " "}, "QP-PLANTED: no remedy"),
+        ({"code": "QP-PLANTED"}, "QP-PLANTED: no remedy"),
+        ({"remedy": "look"}, "Made: no code of its own"),
+    ],
+)
+def test_what_an_operator_would_miss_is_found(planted: dict[str, str], told: str) -> None:
+    kinds = [made("planted.errors", **planted), *all_kinds()]
+    assert told in faults(kinds, PAGE.read_text())
+
+
+def test_a_row_taken_away_emptied_or_left_over_is_found() -> None:
+    kinds, page = all_kinds(), PAGE.read_text()
+    row = next(line for line in page.splitlines() if line.startswith("| `QP-STATE`"))
+    assert faults(kinds, page.replace(row + "\n", "")) == ["QP-STATE: no row"]
+    assert faults(kinds, page.replace(row, "| `QP-STATE` | seen | |")) == ["QP-STATE: no row"]
+    assert faults([k for k in kinds if k.code != "QP-STATE"], page) == ["QP-STATE: a row for nothing"]
+
+
+def test_what_where_and_what_to_do_stand_in_one_line() -> None:
+    class Planted(QuincepierError):
+        code, remedy = "QP-PLANTED", "look there"
+
+    assert Planted("gone", "key.a").line() == "QP-PLANTED key.a: gone; look there"
+    assert Planted("gone", remedy="put it back").line() == "QP-PLANTED gone; put it back"
+
+
+@pytest.mark.parametrize("kind", [ProtocolError, BadWords, BadWord])
+def test_what_a_peer_can_cause_at_will_is_made_by_exception_alone(kind: Kind) -> None:
+    assert kind.__init__ is Exception.__init__
+    assert kind("spoilt").line() == f"{kind.code} spoilt; {kind.remedy}"
+
+
+def test_who_catches_value_errors_still_does() -> None:
+    for kind in (BadWords, BadWord):
+        with pytest.raises(ValueError, match="spoilt"):
+            raise kind("spoilt")
