--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,62 @@
+"""Imports go down only: a planted import breaks the contract of pyproject.toml that forbids it."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+LINT = Path(sys.executable).with_name("lint-imports")
+DOWN, LAB, PURE = "Imports go down only", "Nothing but the command imports", "What decides does no I/O"
+
+
+def broken(folder: Path) -> set[str]:
+    """The contracts that do not hold in a checkout; the exit code says the same."""
+    done = subprocess.run([LINT, "--no-cache"], cwd=folder, capture_output=True, text=True, timeout=120)
+    names = {name for name in (DOWN, LAB, PURE) for line in done.stdout.splitlines()
+             if line.startswith(name) and line.endswith("BROKEN")}  # fmt: skip
+    assert "Contracts: " in done.stdout and bool(names) == bool(done.returncode), done.stdout + done.stderr
+    return names
+
+
+@pytest.fixture(scope="module")
+def checkout(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    folder = tmp_path_factory.mktemp("checkout")
+    shutil.copytree(ROOT / "quincepier", folder / "quincepier", ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copy(ROOT / "pyproject.toml", folder)
+    return folder
+
+
+def test_the_layers_hold(checkout: Path) -> None:
+    assert broken(checkout) == set()
+
+
+@pytest.mark.parametrize(
+    ("place", "planted", "told"),
+    [
+        ("maintenance/room.py", "import quincepier.tenancy", {DOWN}),  # beside it
+        ("wire/lines.py", "import quincepier.config", {DOWN}),  # above it
+        ("rules/ledger.py", "import quincepier.net", {DOWN, PURE}),
+        ("net/means.py", "import quincepier.lab", {DOWN, LAB}),
+        ("policy/pace.py", "import time", {PURE}),
+        ("keys.py", "import quincepier.clock", {DOWN, PURE}),  # the clock by another's hand
+    ],
+)
+def test_a_wrong_import_is_found(checkout: Path, place: str, planted: str, told: set[str]) -> None:
+    path = checkout / "quincepier" / place
+    text = path.read_text()
+    path.write_text(f"{text}\n{planted}\n")
+    try:
+        assert broken(checkout) == told
+    finally:
+        path.write_text(text)
+
+
+def test_the_command_imports_the_laboratory_only_once_it_is_asked_for() -> None:
+    code = "import sys, quincepier.__main__; print([m for m in sys.modules if 'quincepier.lab' in m])"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.stdout == "[]\n", done.stderr
