--- a/quincepier/net/fleet/seat.py
+++ b/quincepier/net/fleet/seat.py
@@ -18,6 +18,7 @@
 
 RETRY = 1.0  # seconds until a write that failed is tried again
 HELD_MOST = 4096  # words that wait for the disk; the oldest go, as the voters say them again
+STORES_MOST = 64  # writes that wait for the disk
 
 
 class VoterDisk(Protocol):
@@ -48,6 +49,7 @@
         self.send, self.hear, self.checks, self.pace = send, hear, checks, pace or Pace()
         self.voter: Voter | None = None
         self.held: deque[Send] = deque(maxlen=HELD_MOST)
+        self.stores: deque[Store] = deque()  # not on disk yet, the oldest is being written
         self.on_disk = 0  # ticket up to which all is written
         self.fault = ""
 
@@ -70,6 +72,7 @@
     def _silent(self, error: Exception) -> None:
         self.voter, self.fault = None, str(error)
         self.held.clear()
+        self.stores.clear()
         line = getattr(error, "line", None)
         self.checks.event("voter silent", line() if callable(line) else f"{type(error).__name__}: {error}")
 
@@ -115,17 +118,32 @@
                     self.hear(action)
 
     def _store(self, store: Store) -> None:
+        self.stores.append(store)
+        if len(self.stores) > STORES_MOST:
+            self._silent(OSError("the disk is behind by too many writes"))
+        elif len(self.stores) == 1:
+            self._save()
+
+    def _save(self) -> None:
+        """The oldest write that is not on disk. The next goes to the disk only after it: one that failed and
+        is tried again behind a newer one would take that back, a vote among it."""
+        if not self.stores or self.voter is None:
+            return
+        store = self.stores[0]
+
         def stored(outcome: object) -> None:
             if self.voter is None:
                 return
             if isinstance(outcome, Exception):  # full, or broken: the same again, and nothing is said before
                 self.checks.event("voter silent", f"{type(outcome).__name__}: {outcome}")
-                self.thread.loop.call_later(RETRY, self._store, store)
+                self.thread.loop.call_later(RETRY, self._save)
                 return
+            self.stores.popleft()
             self.on_disk = store.ticket
             while self.held and self.held[0].after <= store.ticket:
                 word = self.held.popleft()
                 self.send(word.to, word.data)
+            self._save()
             self._perform(self.voter.stored(clock.boot(), store.ticket))
 
         if not self.thread.do(lambda: self.disk.save(store.records), stored):
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -16,7 +16,7 @@
 
 from quincepier import clock
 from quincepier.checks import Checks
-from quincepier.consensus import Committed, Role
+from quincepier.consensus import Committed, Role, Send, Store
 from quincepier.interface import CacheState, Effect, ListNews, ListScope, Note
 from quincepier.maintenance import leaving
 from quincepier.net.fleet.chair import Chair
@@ -135,6 +135,39 @@
     assert silent is (kind is Seat) and found["checks"].counts["voter silent"] > 0
 
 
+def test_a_write_that_failed_is_not_tried_again_behind_a_newer_one() -> None:
+    """Full for a moment: the vote of a later term would be taken back by the one before, tried again."""
+    saved: list[Any] = []
+    said: list[str] = []
+    later: list[Callable[[], None]] = []
+    waiting: list[tuple[Callable[[], Any], Callable[[Any], None]]] = []
+
+    def do(work: Callable[[], Any], told: Callable[[Any], None]) -> bool:
+        waiting.append((work, told))
+        return True
+
+    def turn(outcome: Any = None) -> None:
+        work, told = waiting.pop(0)
+        told(outcome or work())
+
+    def again(_: float, call: Any, *args: Any) -> None:
+        later.append(lambda: call(*args))
+
+    thread: Any = SimpleNamespace(do=do, loop=SimpleNamespace(call_later=again))
+    disk: Any = SimpleNamespace(save=lambda records: saved.append(records) or 0)
+    seat = Seat("a", VOTERS, disk, thread, 1, lambda to, raw: said.append(to), lambda what: None, Checks())
+    seat.voter = SimpleNamespace(stored=lambda now, ticket: [])  # type: ignore[assignment]
+    seat._perform([Store(1, ("vote in 5",)), Store(2, ("vote in 6",)), Send("b", b"", 1)])  # type: ignore[arg-type]
+    turn(OSError("full"))
+    while waiting:  # the newer one, where it goes ahead
+        turn()
+    assert saved == said == []
+    later.pop()()
+    while waiting:
+        turn()
+    assert saved == [("vote in 5",), ("vote in 6",)] and said == ["b"] and seat.on_disk == 2
+
+
 # The follower
 
 
