--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -43,10 +43,12 @@
 
     @property
     def version(self) -> RuleVersion:
-        """By which this front decides, or, before its first grant, keeps to its cautious set."""
-        known = self.follower.version
-        old = self.kept is not None and not known.number and not self.follower.granted_once
-        return self.kept if old and self.kept is not None else known
+        """By which this front decides, or, before its first answer, keeps to its cautious set: what a voter
+        reads from its own log at the start may be older than what its earlier start was told."""
+        known, kept = self.follower.version, self.kept
+        if kept is not None and self.follower.holder.blank() and kept.number > known.number:
+            return kept
+        return known
 
     def wants_caution(self, now: int) -> str:
         """Why this front is to be cautious; empty where it is not."""
--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -87,7 +87,7 @@
         self.seat: Seat | None = None
         self.chair: Chair | None = None
         self.turned, self.role = 0, ("", -1)
-        self.first = asyncio.Event()  # a version was heard since the start
+        self.first = asyncio.Event()  # an answer was had since the start
         self.running: asyncio.Task[None] | None = None
         self.others: list[Callable[[int], None]] = []  # told at each look: what else is due
         for voter, address in section.voters.items():
@@ -229,7 +229,7 @@
             told = logger.bind(event="version adopted", number=number, by=sender)
             told.info("version {} adopted", number)
             self.checks.count("versions adopted")
-        if self.follower.granted_once or self.follower.version.number:
+        if not self.follower.holder.blank():  # what came by the way, as from its own log, may be old
             self.first.set()
 
     def _agreed(self, what: Committed | Role) -> None:
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -21,6 +21,7 @@
 from quincepier.maintenance import leaving
 from quincepier.net.fleet.chair import Chair
 from quincepier.net.fleet.effects import Effects
+from quincepier.net.fleet.fleet import Fleet
 from quincepier.net.fleet.follower import Follower
 from quincepier.net.fleet.kept import Kept
 from quincepier.net.fleet.seat import Seat
@@ -317,6 +318,29 @@
         kept.load()
 
 
+def test_an_older_version_heard_at_a_start_does_not_lift_what_was_kept() -> None:
+    """A voter that was behind reads version 4 from its own log; its earlier start was granted 5."""
+    effects, follower, told = front(version(5, DRAINS))
+    effects.apply()
+    follower.heard(clock.boot(), "a", Told(1, encode(version(4))))
+    effects.apply()
+    assert told[-1].machines == (machine(1, CacheState.DRAINING),) and effects.number == 5
+    lease(follower, 4)  # the voters have lost it: what they answer holds
+    effects.apply()
+    assert told[-1].machines == (machine(1, CacheState.READY),) and effects.number == 4
+
+
+def test_a_start_waits_for_an_answer_and_not_for_what_comes_by_the_way() -> None:
+    effects, follower, _ = front()
+    fleet: Any = SimpleNamespace(effects=effects, follower=follower, first=asyncio.Event(), checks=Checks())
+    follower.heard(clock.boot(), "a", Told(1, encode(version(4))))
+    Fleet._followed(fleet, "a")
+    assert not fleet.first.is_set()
+    lease(follower, 4, 0)
+    Fleet._followed(fleet, "a")
+    assert fleet.first.is_set()
+
+
 def test_a_line_of_the_log_does_not_lift_an_order() -> None:
     effects, follower, _ = front()
     follower.heard(clock.boot(), "a", Told(1, encode(version(2, DRAINS))))
