--- a/quincepier/tenancy/steps.py
+++ b/quincepier/tenancy/steps.py
@@ -49,7 +49,9 @@
     used = {h.shard for h in homes} | {s for m in moves if m.open for s in (m.old, m.new)}
     names = {s.name for s in shards}
     shards += tuple(s for s in version.shards if s.name in used and s.name not in names)
-    if any(m.open for m in moves + list(version.moves)) and version.shards:
+    caches = [host for s in shards for host in s.caches]
+    shared = len(caches) > len(set(caches))  # a shard was renamed while it is the home of tenants
+    if (shared or any(m.open for m in moves + list(version.moves))) and version.shards:
         shards = _grown_only(version, shards)  # machines of a home do not change under a move
     if shards != version.shards:
         why.append("shards as in the file")
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -98,6 +98,18 @@
     return v.moves[0] if change is None or change.moves is None else change.moves[0]
 
 
+def test_a_shard_renamed_while_tenants_are_at_home_there_puts_no_cache_into_two() -> None:
+    """The old one stays while it is a home, so the new one waits."""
+    north = RuleVersion(1, 1, shards=(Shard("north", ("s-1", "s-2")),), homes=(Home("acme", "north"),))
+    text = "tenants: {shards: {polar: {caches: [s-2, s-3]}}, tenants: {acme: {items: ['00']}}}"
+    section = read(text, "f").get(TenantsSection)
+    assert section is not None
+    change = advance(north, Wishes.of(section, (KEYED,)), seen())
+    shards = north.shards if change is None or change.shards is None else change.shards
+    caches = [host for shard in shards for host in shard.caches]
+    assert len(caches) == len(set(caches)) and shards[0] == north.shards[0]
+
+
 @pytest.mark.parametrize(
     ("was", "now", "told"),
     [
