--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from quincepier import clock
+from quincepier.errors import QuincepierError
 from quincepier.interface import CacheState, ListNews, Note, RequestCame
 from quincepier.memory.requests import OpenAttempt, OpenRequest
 from quincepier.net.fleet.bearing import Rules
@@ -19,7 +20,7 @@
 from quincepier.net.fleet.overlay import Overlay
 from quincepier.net.fleet.tally import Tally
 from quincepier.net.module import ModuleActor
-from quincepier.rules import FrontReport, RuleVersion
+from quincepier.rules import FrontReport, RuleVersion, first
 
 if TYPE_CHECKING:
     from quincepier.tenancy import Homes
@@ -40,6 +41,8 @@
         self.number, self.seq, self.revision, self.doubt = -1, 0, 0, ""
         self.applied: Callable[[], None] = lambda: None  # told after each change
         self.busy = False
+        self.in_part = -1  # the number of a version of which the homes can't be used
+        self.usable = first()  # the last version of which they could
 
     @property
     def version(self) -> RuleVersion:
@@ -52,6 +55,8 @@
 
     def wants_caution(self, now: int) -> str:
         """Why this front is to be cautious; empty where it is not."""
+        if self.in_part == self.version.number:
+            return "a version that can't be used"
         if self.follower.cautious(now):
             return "no lease yet" if not self.follower.granted_once else "its lease has run out"
         return self.doubt
@@ -65,14 +70,25 @@
         if cautious != self.cautious:
             self.since = now
         # a move may have begun since that this front can't know of
-        unsure = cautious and (not version.number or now - self.since > self.bearing.notice)
+        spoilt = version.number == self.in_part
+        unsure = spoilt or cautious and (not version.number or now - self.since > self.bearing.notice)
         if (version.number, cautious, unsure) == (self.number, self.cautious, self.unsure):
             return
+        try:
+            homes = self.bearing.homes(self.usable if spoilt else version, cautious, unsure)
+        except QuincepierError as error:  # its orders hold all the same, and no lease is had by it
+            self.checks.event("rule version not taken", error.line())
+            if not spoilt:
+                self.in_part = version.number
+                self.apply(why)
+            return
+        if not spoilt:
+            self.usable = version
         if version.number != self.number:
             self.tally.begin(clock.now())
         changed = cautious != self.cautious
         self.number, self.cautious, self.unsure = version.number, cautious, unsure
-        self.homes = self.bearing.homes(version, cautious, unsure)
+        self.homes = homes
         self.module.router.homes = self.homes
         leaving = self.bearing.leaving(version, cautious)
         news = self.overlay.change(leaving, [e.machine for e in self.module.directory.entries.values()])
@@ -129,7 +145,7 @@
 
     def report(self) -> FrontReport:
         module, now = self.module, clock.now()
-        hosts = module.directory.hosts
+        hosts, number = module.directory.hosts, self.follower.version.number
         aside = [
             entry.record.host
             for entry in module.directory.entries.values()
@@ -138,7 +154,7 @@
         about = FrontReport(
             self.follower.name,
             self.follower.start,
-            self.follower.version.number,
+            max(number - 1, 0) if number == self.in_part else number,
             self.follower.digest_now(),
             self.cautious,
             0,
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -44,6 +44,7 @@
 )
 from quincepier.state.store import Files
 from quincepier.state.voterlog import VoterLog
+from quincepier.tenancy import TenancyError
 from tests.test_fleet_shell import HOSTS, machine
 
 VOTERS = ("a", "b", "c")
@@ -350,6 +351,31 @@
     assert news.machines[0].state is CacheState.DRAINING
 
 
+def test_a_version_that_can_be_used_in_part_alone_gives_no_lease_and_its_orders_hold() -> None:
+    effects, follower, told = front()
+    made: list[tuple[int, bool, bool]] = []
+
+    def homes(v: RuleVersion, cautious: bool, unsure: bool) -> Any:
+        if v.number == 3:
+            raise TenancyError("a cache is in two shards", "rule version 3")
+        return made.append((v.number, cautious, unsure))
+
+    effects.bearing.homes = homes
+    follower.heard(clock.boot(), "a", Told(1, encode(version(2))))
+    lease(follower, 2)
+    effects.apply()
+    follower.heard(clock.boot(), "a", Told(1, encode(version(3, DRAINS))))
+    effects.apply()
+    effects.apply()
+    assert effects.cautious and effects.report().number == 2 and effects.report().cautious
+    assert told[-1].machines == (machine(1, CacheState.DRAINING),)
+    assert made == [(2, False, False), (2, True, True)]  # what may not be repeated is refused
+    follower.heard(clock.boot(), "a", Told(1, encode(version(4, DRAINS))))
+    lease(follower, 4)
+    effects.apply()
+    assert not effects.cautious and effects.report().number == 4
+
+
 # Reports
 
 
