--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -39,6 +39,7 @@
         self.cautious, self.since = True, clock.boot()
         self.unsure = False
         self.number, self.seq, self.revision, self.doubt = -1, 0, 0, ""
+        self.taken = -1
         self.applied: Callable[[], None] = lambda: None  # told after each change
         self.busy = False
         self.in_part = -1  # the number of a version of which the homes can't be used
@@ -72,8 +73,10 @@
         # a move may have begun since that this front can't know of
         spoilt = version.number == self.in_part
         unsure = spoilt or cautious and (not version.number or now - self.since > self.bearing.notice)
-        if (version.number, cautious, unsure) == (self.number, self.cautious, self.unsure):
+        as_before = (version.number, cautious, unsure) == (self.number, self.cautious, self.unsure)
+        if as_before and self.taken == self.bearing.taken:
             return
+        self.taken = self.bearing.taken  # another file tells tenants apart in another way
         try:
             homes = self.bearing.homes(self.usable if spoilt else version, cautious, unsure)
         except QuincepierError as error:  # its orders hold all the same, and no lease is had by it
@@ -113,7 +116,10 @@
 
     def before(self, now: int) -> None:
         if not self.cautious and not self.busy and self.follower.cautious(clock.boot()):
-            self.apply()
+            try:
+                self.apply()
+            except Exception as error:  # a defect: the request that is decided next is not to fail for it
+                self.checks.event("exception in the fleet", f"{type(error).__name__}: {error}")
 
     def listed(self, news: ListNews) -> ListNews:
         if self.homes is not None:
