--- a/quincepier/net/fleet/bearing.py
+++ b/quincepier/net/fleet/bearing.py
@@ -30,7 +30,7 @@
         self.once = [c.effect is not Effect.SAFE for c in module.config.settings.classes]
         self.notice = NOTICE
         self.plans: list[Planner] = []
-        self.named = frozenset[str]()
+        self.named, self.gone = frozenset[str](), frozenset[str]()
         self.waits: tuple[str, ...] = ()
         self.tenants: Tenants | None = None
         self.taken = 0  # files
@@ -42,6 +42,7 @@
         if file.named("maintenance") is not None:
             wished = file.get(MaintenanceSection) or wished
         self.named, self.waits = named(wished), ()
+        self.gone = frozenset(wished.gone)
         # an order that nobody wishes any more is ended by the same plan: there is one without a section
         self.plans = [lambda version, seen: self._orders(wished, version, seen)]
         self.tenants, self.notice, self.taken = None, NOTICE, self.taken + 1
--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -48,10 +48,14 @@
         view: Callable[[], tuple[str, ...]],
         checks: Checks,
         alike: Callable[[int], bool | None] = lambda number: None,
+        silent: Callable[[int], frozenset[str]] = lambda age: frozenset(),
+        gone: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        """`silent(age)`: fronts put out of the view for no longer, which may serve on by an older version;
+        `gone()`: those of which the operators say that they are no more."""
         self.name, self.voters, self.seat, self.pace = name, voters, seat, pace
         self.planners, self.machines, self.view, self.checks = planners, machines, view, checks
-        self.alike = alike
+        self.alike, self.silent, self.gone = alike, silent, gone
         self.agreed = first()  # the newest version that is agreed, as far as this voter knows
         self.ledger: Ledger | None = None
         self.term = -1
@@ -111,6 +115,7 @@
         ledger = self.ledger
         if ledger is None:
             return
+        ledger.dropped(self.gone())
         seen = ledger.seen(
             now,
             self.view(),
@@ -119,6 +124,7 @@
             self.name,
             self.alike(self.agreed.number),
             self.usual,
+            self.silent(self.pace.gone),
         )
         if seen.in_force != self.force:
             self.force = seen.in_force
--- a/quincepier/net/fleet/fleet.py
+++ b/quincepier/net/fleet/fleet.py
@@ -135,6 +135,8 @@
                 self._machines,
                 lambda: self.peers.view,
                 self.checks,
+                silent=self.peers.silent,
+                gone=lambda: self.rules.gone,
             )
             self.peers.channel(AGREEMENT, self.seat.heard)
             self.seat.open()
--- a/quincepier/net/peers/shell.py
+++ b/quincepier/net/peers/shell.py
@@ -23,6 +23,7 @@
 from quincepier.membership import Detector, Exchange, Pace, Send, Twin, Viewed
 from quincepier.membership.detector import Action
 from quincepier.membership.section import MembersSection
+from quincepier.membership.table import Standing
 from quincepier.net.means import Means
 from quincepier.net.peers.frames import CHANNELS, PeersError
 from quincepier.net.peers.lines import SWEEP, Address, Lines
@@ -143,6 +144,11 @@
         claim = self.detector.claims.get(name) if self.detector is not None else None
         return claim.address if claim is not None and is_ip(claim.address[0]) else None
 
+    def silent(self, age: int) -> frozenset[str]:
+        """Names of fronts that were put out of the view in the last `age` nanoseconds and did not leave."""
+        claims, now = self.detector.claims.values() if self.detector is not None else (), clock.now()
+        return frozenset(c.name for c in claims if c.standing is Standing.GONE and now - c.since <= age)
+
     # Life
 
     async def start(self) -> None:
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -156,7 +156,7 @@
         later.append(lambda: call(*args))
 
     thread: Any = SimpleNamespace(do=do, loop=SimpleNamespace(call_later=again))
-    disk: Any = SimpleNamespace(save=lambda records: saved.append(records) or 0)
+    disk: Any = SimpleNamespace(save=saved.append)
     seat = Seat("a", VOTERS, disk, thread, 1, lambda to, raw: said.append(to), lambda what: None, Checks())
     seat.voter = SimpleNamespace(stored=lambda now, ticket: [])  # type: ignore[assignment]
     seat._perform([Store(1, ("vote in 5",)), Store(2, ("vote in 6",)), Send("b", b"", 1)])  # type: ignore[arg-type]
@@ -244,6 +244,21 @@
     assert len(proposed) == 1 and chair.checks.counts["exception in a planner"] == 1
 
 
+@pytest.mark.parametrize("gone", [frozenset(), frozenset({"f"})])
+def test_a_new_leader_waits_for_a_front_that_membership_put_out_before_it_was_elected(gone: Any) -> None:
+    """Cut off, it serves on by an older version, and this leader never heard it."""
+    seen: list[Any] = []
+    chair, _, _ = chair_of(lambda agreed, s: seen.append(s))
+    chair.silent, chair.gone = lambda age: frozenset({"f"}) if age >= PACE.gone else frozenset(), lambda: gone
+    chair.turn(0)
+    chair.committed(version(1, WAITS))
+    at = 2 * PACE.lease
+    for name in VOTERS:
+        chair.asked(at, Report(Ask(1, report(name, 1, version(1, WAITS).digest))))
+    chair.turn(at)
+    assert seen[-1].in_force == 1 and seen[-1].told == (1 if gone else 0)
+
+
 # Effects
 
 
