--- a/quincepier/net/fleet/effects.py
+++ b/quincepier/net/fleet/effects.py
@@ -92,6 +92,8 @@
         changed = cautious != self.cautious
         self.number, self.cautious, self.unsure = version.number, cautious, unsure
         self.homes = homes
+        if changed and cautious:
+            self._take_back()
         self.module.router.homes = self.homes
         leaving = self.bearing.leaving(version, cautious)
         news = self.overlay.change(leaving, [e.machine for e in self.module.directory.entries.values()])
@@ -108,6 +110,14 @@
                 self.busy = False
         self.applied()
 
+    def _take_back(self) -> None:
+        """What may not be repeated and is not written goes back to the module: after a standstill its time is
+        over, and the tenant may be served at another home. Machines are seen to by their list lines."""
+        for request in list(self.module.requests.open.values()):
+            if request.tenant and self.bearing.once[request.cls]:
+                for attempt in request.attempts:
+                    self.module.take_back(attempt)
+
     # As the module's actor asks
 
     def stale(self) -> bool:
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -228,7 +228,7 @@
         for request in list(self.requests.open.values()):
             if request.object == purge.object or (purge.object is None and request.group == purge.group):
                 for attempt in request.attempts:
-                    self._take_back(attempt)
+                    self.take_back(attempt)
 
     def _recall_from(self, news: io.ListNews) -> None:
         """So does what is for a machine told to drain or be gone, or names it as the source."""
@@ -240,9 +240,9 @@
             for request in list(self.requests.open.values()):
                 for attempt in request.attempts:
                     if attempt.cache in leaving or attempt.source in leaving:
-                        self._take_back(attempt)
+                        self.take_back(attempt)
 
-    def _take_back(self, attempt: OpenAttempt) -> None:
+    def take_back(self, attempt: OpenAttempt) -> None:
         """From now on its first byte does not go out; where one has, that is of no effect."""
         if not attempt.ended and (cache := self.caches.get(attempt.cache)) is not None:
             attempt.recalled = True
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -394,6 +394,32 @@
     assert not effects.cautious and effects.report().number == 4
 
 
+class Lenient(Effects):
+    """Mutant: what was decided by the lease that ran out is written by and by."""
+
+    def _take_back(self) -> None: ...
+
+
+@pytest.mark.parametrize("kind", [Effects, Lenient])
+def test_what_may_not_be_repeated_and_is_not_written_does_not_outlast_the_lease(kind: Any) -> None:
+    """After a standstill the fleet's own turn may come before the writer's, and its look at the lease."""
+    effects, follower, _ = front(effects=kind)
+    back: list[str] = []
+    effects.bearing.once, effects.module.take_back = [True, False], back.append
+    for n, (tenant, cls) in enumerate((("acme", 0), ("acme", 1), ("", 0))):
+        effects.module.requests.open[n] = SimpleNamespace(
+            tenant=tenant, cls=cls, attempts=[f"{tenant} {cls}"]
+        )
+    follower.heard(clock.boot(), "a", Told(1, encode(version(2))))
+    lease(follower, 2)
+    effects.apply()
+    assert not effects.cautious and not back
+    follower.holder.until = clock.boot()
+    effects.apply()
+    effects.apply()
+    assert not effects.stale() and (back == ["acme 0"]) is (kind is Effects)
+
+
 # Reports
 
 
