--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -12,6 +12,7 @@
 
 from quincepier import clock
 from quincepier.checks import Checks
+from quincepier.errors import QuincepierError
 from quincepier.net.fleet.seat import Seat
 from quincepier.net.fleet.words import Granted, Report, Turn
 from quincepier.rules import (
@@ -28,7 +29,7 @@
 )
 
 Planner = Callable[[RuleVersion, Seen], Change | None]
-LOST_AFTER = 3 * clock.SECOND  # a proposal not agreed in this time is given up; one like it may come
+LOST_AFTER = 3 * clock.SECOND  # a proposal not agreed in this time is made again, the same
 USUAL_LEAST, USUAL_PART = 50, 0.2  # answers in a span that tell of the usual; weight of a new reading
 USUAL_MOST = 4096
 USUAL_EVERY = clock.SECOND
@@ -60,6 +61,7 @@
         self.ledger: Ledger | None = None
         self.term = -1
         self.proposed, self.proposed_at = 0, 0  # the number on its way, and since when
+        self.proposal = b""
         self.why: dict[int, str] = {}
         self.force = -1
         self.usual = dict[str, float]()
@@ -131,9 +133,13 @@
             told = logger.bind(event="version in force", number=self.force, fronts=len(seen.reports))
             told.info("version {} in force, {} fronts with a lease", self.force, len(seen.reports))
         self._learn_usual(now, seen)
-        if self.proposed and now - self.proposed_at < LOST_AFTER:
-            return
-        self.propose(now, seen)
+        if not self.proposed:
+            self.propose(now, seen)
+        elif now - self.proposed_at >= LOST_AFTER:
+            # never another of that number: where the first is agreed late, both would be in the log, and a
+            # voter that begins from its newest entry would have the other
+            self.proposed_at = now
+            self.seat.propose(self.proposal)
 
     def propose(self, now: int, seen: Seen) -> None:
         changes = list(self._wanted(seen))
@@ -152,7 +158,12 @@
         told = "; ".join(c.why for c in changes)
         self.why = {version.number: told or "the first, or numbers go on above the fronts'"}
         self.checks.count("versions proposed")
-        self.seat.propose(encode(version))
+        self.proposal = encode(version)
+        try:
+            self.seat.propose(self.proposal)
+        except QuincepierError:  # too long: it is on no log, so it is planned anew by what is wished then
+            self.proposed = 0
+            raise
 
     def _wanted(self, seen: Seen) -> Iterable[Change]:
         for planner in self.planners():
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -235,6 +235,24 @@
     assert turned == Turn(3, "b")
 
 
+def test_a_proposal_that_is_late_is_made_again_the_same_and_no_other_of_its_number() -> None:
+    """Disks of the others that hang for seconds: the first is agreed after all, and the second besides."""
+    chair, proposed, seat = chair_of(
+        lambda agreed, seen: Change(f"at {seen.now}", orders=(DRAINS,) * seen.now)
+    )
+    chair.turn(1)
+    chair.turn(2 * clock.SECOND)
+    chair.planners = lambda: [lambda agreed, seen: Change("another", orders=())]
+    chair.turn(4 * clock.SECOND)
+    assert len(proposed) == 2 and proposed[0] == proposed[1]
+    chair.committed(decode(proposed[0]))
+    chair.turn(5 * clock.SECOND)
+    assert decode(proposed[2]).number == 2
+    seat.voter.term = 2  # what an earlier term left was agreed by then, or is gone
+    chair.turn(6 * clock.SECOND)
+    assert decode(proposed[3]).number == 2 and decode(proposed[3]).term == 2
+
+
 def test_a_planner_that_breaks_stops_nothing_else() -> None:
     def planner(agreed: RuleVersion, seen: Any) -> Change:
         raise ValueError("a defect")
