--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -16,11 +16,12 @@
 
 from quincepier import clock
 from quincepier.checks import Checks
-from quincepier.consensus import Committed, Role
+from quincepier.consensus import Committed, Role, Send, Store
 from quincepier.interface import CacheState, Effect, ListNews, ListScope, Note
 from quincepier.maintenance import leaving
 from quincepier.net.fleet.chair import Chair
 from quincepier.net.fleet.effects import Effects
+from quincepier.net.fleet.fleet import Fleet
 from quincepier.net.fleet.follower import Follower
 from quincepier.net.fleet.kept import Kept
 from quincepier.net.fleet.seat import Seat
@@ -46,6 +47,7 @@
 )
 from quincepier.state.store import Files
 from quincepier.state.voterlog import VoterLog
+from quincepier.tenancy import TenancyError
 from tests.test_fleet_shell import HOSTS, machine
 
 VOTERS = ("a", "b", "c")
@@ -138,6 +140,39 @@
     assert silent is (kind is Seat) and found["checks"].counts["voter silent"] > 0
 
 
+def test_a_write_that_failed_is_not_tried_again_behind_a_newer_one() -> None:
+    """Full for a moment: the vote of a later term would be taken back by the one before, tried again."""
+    saved: list[Any] = []
+    said: list[str] = []
+    later: list[Callable[[], None]] = []
+    waiting: list[tuple[Callable[[], Any], Callable[[Any], None]]] = []
+
+    def do(work: Callable[[], Any], told: Callable[[Any], None]) -> bool:
+        waiting.append((work, told))
+        return True
+
+    def turn(outcome: Any = None) -> None:
+        work, told = waiting.pop(0)
+        told(outcome or work())
+
+    def again(_: float, call: Any, *args: Any) -> None:
+        later.append(lambda: call(*args))
+
+    thread: Any = SimpleNamespace(do=do, loop=SimpleNamespace(call_later=again))
+    disk: Any = SimpleNamespace(save=saved.append)
+    seat = Seat("a", VOTERS, disk, thread, 1, lambda to, raw: said.append(to), lambda what: None, Checks())
+    seat.voter = SimpleNamespace(stored=lambda now, ticket: [])  # type: ignore[assignment]
+    seat._perform([Store(1, ("vote in 5",)), Store(2, ("vote in 6",)), Send("b", b"", 1)])  # type: ignore[arg-type]
+    turn(OSError("full"))
+    while waiting:  # the newer one, where it goes ahead
+        turn()
+    assert saved == said == []
+    later.pop()()
+    while waiting:
+        turn()
+    assert saved == [("vote in 5",), ("vote in 6",)] and said == ["b"] and seat.on_disk == 2
+
+
 # The follower
 
 
@@ -215,6 +250,24 @@
     assert decode(encode(common)).home_of("acme") == ""
 
 
+def test_a_proposal_that_is_late_is_made_again_the_same_and_no_other_of_its_number() -> None:
+    """Disks of the others that hang for seconds: the first is agreed after all, and the second besides."""
+    chair, proposed, seat = chair_of(
+        lambda agreed, seen: Change(f"at {seen.now}", orders=(DRAINS,) * seen.now)
+    )
+    chair.turn(1)
+    chair.turn(2 * clock.SECOND)
+    chair.planners = lambda: [lambda agreed, seen: Change("another", orders=())]
+    chair.turn(4 * clock.SECOND)
+    assert len(proposed) == 2 and proposed[0] == proposed[1]
+    chair.committed(decode(proposed[0]))
+    chair.turn(5 * clock.SECOND)
+    assert decode(proposed[2]).number == 2
+    seat.voter.term = 2  # what an earlier term left was agreed by then, or is gone
+    chair.turn(6 * clock.SECOND)
+    assert decode(proposed[3]).number == 2 and decode(proposed[3]).term == 2
+
+
 def test_a_planner_that_breaks_stops_nothing_else() -> None:
     def planner(agreed: RuleVersion, seen: Any) -> Change:
         raise ValueError("a defect")
@@ -224,6 +277,21 @@
     assert len(proposed) == 1 and chair.checks.counts["exception in a planner"] == 1
 
 
+@pytest.mark.parametrize("gone", [frozenset(), frozenset({"f"})])
+def test_a_new_leader_waits_for_a_front_that_membership_put_out_before_it_was_elected(gone: Any) -> None:
+    """Cut off, it serves on by an older version, and this leader never heard it."""
+    seen: list[Any] = []
+    chair, _, _ = chair_of(lambda agreed, s: seen.append(s))
+    chair.silent, chair.gone = lambda age: frozenset({"f"}) if age >= PACE.gone else frozenset(), lambda: gone
+    chair.turn(0)
+    chair.committed(version(1, WAITS))
+    at = 2 * PACE.lease
+    for name in VOTERS:
+        chair.asked(at, Report(Ask(1, report(name, 1, version(1, WAITS).digest))))
+    chair.turn(at)
+    assert seen[-1].in_force == 1 and seen[-1].told == (1 if gone else 0)
+
+
 # Effects
 
 
@@ -302,6 +370,29 @@
         kept.load()
 
 
+def test_an_older_version_heard_at_a_start_does_not_lift_what_was_kept() -> None:
+    """A voter that was behind reads version 4 from its own log; its earlier start was granted 5."""
+    effects, follower, told = front(version(5, DRAINS))
+    effects.apply()
+    follower.heard(clock.boot(), "a", Told(1, encode(version(4))))
+    effects.apply()
+    assert told[-1].machines == (machine(1, CacheState.DRAINING),) and effects.number == 5
+    lease(follower, 4)  # the voters have lost it: what they answer holds
+    effects.apply()
+    assert told[-1].machines == (machine(1, CacheState.READY),) and effects.number == 4
+
+
+def test_a_start_waits_for_an_answer_and_not_for_what_comes_by_the_way() -> None:
+    effects, follower, _ = front()
+    fleet: Any = SimpleNamespace(effects=effects, follower=follower, first=asyncio.Event(), checks=Checks())
+    follower.heard(clock.boot(), "a", Told(1, encode(version(4))))
+    Fleet._followed(fleet, "a")
+    assert not fleet.first.is_set()
+    lease(follower, 4, 0)
+    Fleet._followed(fleet, "a")
+    assert fleet.first.is_set()
+
+
 def test_a_line_of_the_log_does_not_lift_an_order() -> None:
     effects, follower, _ = front()
     follower.heard(clock.boot(), "a", Told(1, encode(version(2, DRAINS))))
@@ -311,6 +402,57 @@
     assert news.machines[0].state is CacheState.DRAINING
 
 
+def test_a_version_that_can_be_used_in_part_alone_gives_no_lease_and_its_orders_hold() -> None:
+    effects, follower, told = front()
+    made: list[tuple[int, bool, bool]] = []
+
+    def homes(v: RuleVersion, cautious: bool, unsure: bool) -> Any:
+        if v.number == 3:
+            raise TenancyError("a cache is in two shards", "rule version 3")
+        return made.append((v.number, cautious, unsure))
+
+    effects.bearing.homes = homes
+    follower.heard(clock.boot(), "a", Told(1, encode(version(2))))
+    lease(follower, 2)
+    effects.apply()
+    follower.heard(clock.boot(), "a", Told(1, encode(version(3, DRAINS))))
+    effects.apply()
+    effects.apply()
+    assert effects.cautious and effects.report().number == 2 and effects.report().cautious
+    assert told[-1].machines == (machine(1, CacheState.DRAINING),)
+    assert made == [(2, False, False), (2, True, True)]  # what may not be repeated is refused
+    follower.heard(clock.boot(), "a", Told(1, encode(version(4, DRAINS))))
+    lease(follower, 4)
+    effects.apply()
+    assert not effects.cautious and effects.report().number == 4
+
+
+class Lenient(Effects):
+    """Mutant: what was decided by the lease that ran out is written by and by."""
+
+    def _take_back(self) -> None: ...
+
+
+@pytest.mark.parametrize("kind", [Effects, Lenient])
+def test_what_may_not_be_repeated_and_is_not_written_does_not_outlast_the_lease(kind: Any) -> None:
+    """After a standstill the fleet's own turn may come before the writer's, and its look at the lease."""
+    effects, follower, _ = front(effects=kind)
+    back: list[str] = []
+    effects.bearing.once, effects.module.take_back = [True, False], back.append
+    for n, (tenant, cls) in enumerate((("acme", 0), ("acme", 1), ("", 0))):
+        effects.module.requests.open[n] = SimpleNamespace(
+            tenant=tenant, cls=cls, attempts=[f"{tenant} {cls}"]
+        )
+    follower.heard(clock.boot(), "a", Told(1, encode(version(2))))
+    lease(follower, 2)
+    effects.apply()
+    assert not effects.cautious and not back
+    follower.holder.until = clock.boot()
+    effects.apply()
+    effects.apply()
+    assert not effects.stale() and (back == ["acme 0"]) is (kind is Effects)
+
+
 # Reports
 
 
@@ -344,4 +486,3 @@
         "assert not wrong, wrong"
     )
     subprocess.run([sys.executable, "-c", code], check=True, timeout=60)
-
