--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -20,8 +20,9 @@
 from quincepier.memory.pool import BufferPool
 from quincepier.net.actor import Actor
 from quincepier.net.changes import ChangesActor
-from quincepier.net.client import Listener, Shop
+from quincepier.net.listener import Listener
 from quincepier.net.module import ModuleActor
+from quincepier.net.shop import Shop
 from quincepier.net.sockets import Descriptors, listen
 
 if TYPE_CHECKING:  # imported only where an operators' file is named
--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -15,12 +15,12 @@
     from quincepier.addresses.section import AddressesSection
     from quincepier.clients.section import Places
     from quincepier.consistency.section import ConsistencySection
-    from quincepier.net.client import Shop
     from quincepier.net.fleet.fleet import Fleet
     from quincepier.net.keeper import Keeper
     from quincepier.net.module import ModuleActor
     from quincepier.net.peers import Peers
     from quincepier.net.peers.divide import Divider
+    from quincepier.net.shop import Shop
 
 
 ONLY_AT_A_START = ("state", "members", "agreement", "consistency")  # what they say changes at a start alone
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -1,284 +1,37 @@
-"""A client connection: FastCGI in, answers out; the shop that all use; and the listener that accepts them.
+"""A client connection: FastCGI in, answers out.
 
 A connection is an actor without a task. Its turn is run by the loop: when bytes can be read, when
 an answer has come to its mailbox, when a timer is due. At rest it is its socket and a few words;
 everything else is in its Talk, made when bytes come and let go when nothing is left half read or
-owed. One epoll, itself a reader of the loop, watches all sockets: who wakes is told there once, and
-is read in turns.
+owed.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
-import select
 import socket
 from collections import deque
-from collections.abc import Callable, Hashable, Iterator
-from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from quincepier import clock
-from quincepier.clients import Caps, Roll, Turns, Verdict
 from quincepier.memory.pool import Body
 from quincepier.memory.requests import OpenRequest
-from quincepier.net.actor import Actor
-from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, Left
-from quincepier.net.sockets import no_delay
-from quincepier.timers import Patience, Timer, Wheel
-from quincepier.translate import PING, BadRequest, class_table, open_request
+from quincepier.net.talk import Outgoing, Talk, cgi_head
+from quincepier.timers import Timer
+from quincepier.translate import PING, BadRequest, open_request
 from quincepier.wire import fastcgi
 from quincepier.wire.errors import ProtocolError
 
-if TYPE_CHECKING:  # imported only where the operators' file tells of clients
-    from quincepier.clients.section import Places
+if TYPE_CHECKING:  # the shop makes the connections
+    from quincepier.net.shop import Shop
 
 BATCH, BATCHES = 65_536, 4  # bytes written at a time, and so often in one turn
 # Seconds: to a new connection's first whole request; that one message may take; to a close behind an answer.
 FIRST_WITHIN, WHOLE_WITHIN, CLOSE_WITHIN = 2.0, 2.0, 1.0
 AGAIN_WITHIN = 0.2  # seconds to another look at what is overdue and still owed something
-GRAIN = 20 * clock.MS  # of the timers of connections
-LATE = clock.SECOND // 4  # between looks at them; more than that is the front's own standstill
-ACCEPTS = 8  # new clients in a row
-SWEPT = 2000  # timers looked at in one sweep; what is left is due at the next
 ROW = 4  # reads of one connection in a row
-READS, WAKES = 64, 4  # connections read in one turn of the loop: at work, and such as rested for long
-RUNG = 512  # of those that woke told of in one turn
-ACTIVE_FOR = 5 * clock.SECOND  # since bytes last came or went, for a connection to count as at work
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
-WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
-
-
-class Shop:
-    """What all client connections use."""
-
-    def __init__(self, means: Means, standing: Callable[[], bool], places: Places | None = None) -> None:
-        self.checks, self.pool, self.descriptors = means.checks, means.pool, means.descriptors
-        self.module, self.standing = means.module, standing
-        self.means, self.classes = means, class_table(means.config)
-        self.connections: set[ClientConnection] = set()
-        self.talking: set[ClientConnection] = set()  # those that are not at rest
-        self.places = places
-        most = self.descriptors.clients_most
-        caps = Caps(most) if places is None else places.caps(most)
-        self.roll: Roll[ClientConnection] = Roll(caps)
-        self.bodies, self.bodies_most = 0, means.budget.bodies
-        buffers = means.pool.take()
-        assert buffers is not None, "the first buffer of the pool is there"
-        self.scratch = memoryview(buffers[0])  # all connections are read into it, each for a moment
-        now = clock.now()
-        self.patience = Patience(now, LATE)
-        self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
-        self.active: Turns[ClientConnection] = Turns(READS)
-        self.waking: Turns[ClientConnection] = Turns(WAKES)
-        self.turning = False
-        self.epoll: select.epoll | None = None  # made with the first connection
-        self.by_fd: dict[int, ClientConnection] = {}
-        self.random = random.Random(means.config.seed)
-        self.parting = self.refusing = False  # see part; what comes is answered with a refusal at once
-
-    def follow(self, places: Places | None) -> None:
-        """The operators tell other limits: they hold for who comes from now on, and for who rests."""
-        self.places = places
-        most = self.descriptors.clients_most
-        self.roll.caps = Caps(most) if places is None else places.caps(most)
-
-    def network(self, host: str) -> tuple[Hashable, int]:
-        """Whose connection it is, and how many it may have (0: as all); one network for all by default."""
-        return ("", 0) if self.places is None else self.places.network(host)
-
-    def admit(self, sock: socket.socket, host: str = "") -> ClientConnection | None:
-        """A connection for a new client's socket; closed where there is no room, or who goes for it is."""
-        connection = ClientConnection(self, sock)
-        verdict, gone = self.roll.came(connection, *self._network(host))
-        if verdict is not Verdict.STAYS:
-            full = verdict is Verdict.FULL
-            why = "descriptors used up" if full else "its network is at its cap"
-            self.checks.event(f"new client closed: {why}", "" if full else host)
-            sock.close()
-            return None
-        for other in gone:
-            self.checks.event("idle client closed: descriptors used up")
-            other.close()
-        self.descriptors.client(1)
-        self.connections.add(connection)
-        connection.start()
-        return connection
-
-    def _network(self, host: str) -> tuple[Hashable, int, int]:
-        name, cap = self.network(host)
-        return name, self.patience.read(clock.now()), cap
-
-    def wait_ms(self) -> int | None:
-        """What a client is told whom the front itself refuses: spread, so that not all come back together."""
-        most = self.means.config.wait_ms
-        return None if most is None else max(int(self.random.uniform(WAIT_LEAST, 1) * most), 1)
-
-    def make_room(self) -> None:
-        """The pool is used up. Of the client that has taken nothing for longest, answers not begun become
-        failures; where there are none, what has begun is cut by closing its connection."""
-        held = sorted((c for c in self.talking if c.talk and c.talk.sending), key=lambda c: c.moved)
-        for connection in held:
-            if connection.fail_unbegun():
-                self.checks.event("answers failed: buffers used up")
-                return
-        if held:
-            self.checks.event("slow client closed: buffers used up")
-            held[0].close()
-
-    def hold(self, connection: ClientConnection, held: int) -> None:
-        """Account for what a connection has sent of requests not whole yet; the one that holds most goes."""
-        self.bodies += held - connection.held
-        connection.held = held
-        if self.bodies > self.bodies_most and held:
-            self.checks.event("client closed: too much half-sent")
-            max(self.talking, key=lambda c: c.held).close()
-
-    def sweep(self, now: int) -> None:
-        """Look at the timers that are due. Time in which nobody looked is the front's and does not count."""
-        time = self.patience.read(now)
-        for _ in range(SWEPT):
-            timer = self.wheel.take(time)
-            if timer is None:
-                break
-            connection, resume = timer.what
-            try:
-                connection.due(time, resume)
-            except Exception as error:
-                self.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
-                connection.close()
-
-    # Turns of the loop
-
-    def watch(self, connection: ClientConnection) -> None:
-        """From now on who has something to read is told of it, once for all that is there."""
-        if self.epoll is None:
-            self.epoll = select.epoll()
-            asyncio.get_running_loop().add_reader(self.epoll.fileno(), self._rung)
-        self.by_fd[connection.sock.fileno()] = connection
-        self.epoll.register(connection.sock, select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET)
-
-    def unwatch(self, connection: ClientConnection) -> None:
-        if self.epoll is not None and self.by_fd.pop(connection.sock.fileno(), None) is not None:
-            self.epoll.unregister(connection.sock)
-
-    def _rung(self) -> None:
-        """A part of those that woke; the loop rings again where there are more."""
-        if self.epoll is not None:
-            for fd, _ in self.epoll.poll(0, RUNG):
-                connection = self.by_fd.get(fd)
-                if connection is not None:
-                    connection.ready()
-
-    def may_read(self, connection: ClientConnection) -> bool:
-        """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
-        self._turn_comes()
-        return self._lane(connection).may(connection)
-
-    def read_on(self, connection: ClientConnection) -> None:
-        """It has more to read than its part of a turn."""
-        self._turn_comes()
-        self._lane(connection).wait(connection)
-
-    def _lane(self, connection: ClientConnection) -> Turns[ClientConnection]:
-        """Who rested for long does not come before those who are at work, nor do these keep it out."""
-        busy = connection.talk is not None or clock.now() - connection.moved < ACTIVE_FOR
-        return self.active if busy else self.waking
-
-    def leave_line(self, connection: ClientConnection) -> None:
-        self.active.leave(connection)
-        self.waking.leave(connection)
-
-    def _turn_comes(self) -> None:
-        if not self.turning:
-            self.turning = True
-            asyncio.get_running_loop().call_soon(self._turn)
-
-    def _turn(self) -> None:
-        for connection in self.active.turn() + self.waking.turn():
-            connection.receive()
-        if waiting := len(self.active.line) + len(self.waking.line):
-            self.checks.count("reads that waited for a turn", waiting)
-            asyncio.get_running_loop().call_soon(self._turn)
-        else:
-            self.turning = False
-
-    def part(self) -> None:
-        """The front ends: from now on a connection goes with the last answer owed there.
-
-        Else a client that sends row after row would hold the drain up to its end, and lose its last row.
-        Who has asked for nothing yet stays: that first request is answered.
-        """
-        self.parting = True
-        for connection in [c for c in self.connections if c.asked]:
-            connection.part()
-
-    def quiet(self) -> bool:
-        """Nothing that was asked here whole is unanswered or on its way out."""
-        return not any(connection.owed for connection in self.talking)
-
-
-class Outgoing:
-    """One answer on its way: records, a piece at a time."""
-
-    def __init__(self, stream: int, keep: bool, head: bytes, body: Body | None) -> None:
-        self.stream, self.keep, self.body, self.begun = stream, keep, body, False
-        self.pieces = self._pieces(head)
-
-    def _pieces(self, head: bytes) -> Iterator[bytes]:
-        self.begun = True
-        chunks = self.body.chunks() if self.body is not None else iter(())
-        first = next(chunks, memoryview(b""))
-        lead = first[: fastcgi.RECORD_MOST - len(head)]
-        yield fastcgi.record(fastcgi.STDOUT, self.stream, head + bytes(lead))
-        if len(lead) < len(first):
-            yield fastcgi.record(fastcgi.STDOUT, self.stream, first[len(lead) :])
-        for chunk in chunks:
-            yield fastcgi.record(fastcgi.STDOUT, self.stream, chunk)
-
-    def release(self) -> None:
-        if self.body is not None:
-            self.body.release()
-            self.body = None
-
-    def fail(self) -> None:
-        """Nothing of it has been written: say that it failed, and give the buffers back."""
-        self.release()
-        self.pieces = self._pieces(cgi_head(502))
-
-
-@lru_cache(maxsize=1024)
-def cgi_head(status: int, still: bool = False, wait_ms: int | None = None) -> bytes:
-    lines = [f"Status: {status}", "Content-Type: application/octet-stream"]
-    if still:
-        lines.append("X-Still: 1")
-    if wait_ms is not None:
-        lines.append(f"X-Wait-Ms: {wait_ms}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
-class Talk:
-    """What a connection needs while it is not at rest."""
-
-    __slots__ = ("control", "decoder", "inbox", "keep", "open", "sending", "unfinished", "unfinished_at")
-
-    def __init__(self, connections_most: int) -> None:
-        self.decoder = fastcgi.Decoder(connections_most)
-        self.open: dict[int, OpenRequest] = {}
-        self.keep: dict[int, bool] = {}
-        self.sending: deque[Outgoing] = deque()
-        self.control: deque[tuple[int, bytes]] = deque()  # whole and short: 0 or the request, and its bytes
-        self.inbox: deque[Answer] = deque()
-        self.unfinished: object = None  # what is half-sent, and since when by the shop's patience
-        self.unfinished_at = 0
-
-    @property
-    def done(self) -> bool:
-        """Nothing is owed, on its way or half read."""
-        decoder = self.decoder
-        busy = self.open or self.sending or self.control or self.inbox or decoder.answering
-        return not (busy or decoder.begun or decoder.buffer or decoder.skip or decoder.strays)
 
 
 class ClientConnection:
@@ -687,28 +440,3 @@
                 talk.decoder.close(outgoing.stream)
                 self.closing = self.closing or not outgoing.keep
         return bytes(out)
-
-
-class Listener(Actor[None]):
-    """Accepts clients, a few in a row; who stays is told by the roll."""
-
-    name = "listener"
-
-    def __init__(self, shop: Shop, sock: socket.socket) -> None:
-        super().__init__(shop.checks, 1)
-        self.shop, self.sock = shop, sock
-
-    async def run(self) -> None:
-        loop, taken = asyncio.get_running_loop(), 0
-        while True:
-            try:
-                sock, address = await loop.sock_accept(self.sock)
-                sock.setblocking(False)
-                no_delay(sock)
-            except OSError as error:
-                self.checks.event("accept failed", str(error))
-                await asyncio.sleep(0.01)
-                continue
-            self.shop.admit(sock, address[0])
-            if (taken := taken + 1) % ACCEPTS == 0:  # the others get their turn in a storm of new clients
-                await asyncio.sleep(0)
--- /dev/null
+++ b/quincepier/net/connection.py
@@ -0,0 +1,301 @@
+"""One connection to a cache: what is out on it, what is to be written, and its answers as they come."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+from quincepier import clock
+from quincepier.interface import Ending
+from quincepier.memory.pool import Body
+from quincepier.memory.requests import OpenAttempt
+from quincepier.net.sockets import NO_BUFFER_PAUSE, Unreached, Unsent, connect, send_proved
+from quincepier.wire import lines
+from quincepier.wire.errors import ProtocolError
+
+if TYPE_CHECKING:
+    from quincepier.addresses import Address  # imported only where machines have several addresses
+    from quincepier.net.cache import CacheActor
+
+READS = 8  # in a row
+GHOSTS_MOST = 256  # ids that were out on one connection; none of them goes out there again
+PROBE_WORDS = {"well": Ending.OK, "ill": Ending.ERROR}
+
+
+class Probe:
+    def __init__(self, tag: str, at: int) -> None:
+        self.tag, self.at = tag, at
+
+
+class Connection:
+    """One connection: what is out on it, what is to be written, which ids are given up."""
+
+    def __init__(self, actor: CacheActor) -> None:
+        self.actor, self.shared = actor, actor.shared
+        self.sock: socket.socket | None = None
+        self.open: dict[str, OpenAttempt | Probe] = {}
+        self.ghosts: OrderedDict[str, None] = OrderedDict()
+        self.outgoing: deque[tuple[OpenAttempt | Probe | None, bytes]] = deque()
+        self.started: set[OpenAttempt | Probe] = set()  # those whose command may have been written whole
+        self.wake: asyncio.Future[None] | None = None
+        self.lost = self.doubtful = self.absent = self.begun = False
+        self.heard = 0
+        self.address: Address | None = None  # that of several which came up
+        self.up_at, self.proved = 0, False  # when, and whether an answer has come over it
+        self.used: int = clock.now()
+        self.between = True  # no answer is half read
+        self.surplus = False  # the one being read is passed over
+        self.body: Body | None = None
+        self.head: lines.Head | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.ready: asyncio.Future[None] | None = None  # set when there is something to read
+        self.reading = False
+
+    def send(self, id: str, what: OpenAttempt | Probe, command: bytes) -> None:
+        self.open[id] = what
+        self.write(what, command)
+
+    def write(self, what: OpenAttempt | Probe | None, command: bytes) -> None:
+        self.outgoing.append((what, command))
+        self.used = clock.now()
+        if self.wake is not None and not self.wake.done():
+            self.wake.set_result(None)
+
+    def give_up(self, id: str, attempt: OpenAttempt) -> None:
+        """The attempt is over on our side: it is not sent if it has not been, else called off."""
+        self.open.pop(id, None)
+        if attempt not in self.started:
+            self.outgoing = deque(item for item in self.outgoing if item[0] is not attempt)
+            if self.sock is None and not self.open and self.actor.way is not None:
+                self.close()  # nobody waits for its race
+            return
+        self.started.discard(attempt)
+        self.past(id)
+        self.write(None, lines.cancel(id))
+        # Nothing heard since it went out: the peer may have lost this connection. New ones try it.
+        silent = self.heard < attempt.at and clock.now() - attempt.at > self.shared.config.dial_timeout
+        self.doubtful = self.doubtful or silent
+        if silent:
+            self.against("silent", owed=True)
+
+    def past(self, id: str) -> None:
+        self.ghosts[id] = None
+        if len(self.ghosts) > GHOSTS_MOST:
+            self.ghosts.popitem(last=False)
+
+    def against(self, why: str, owed: bool = False) -> None:
+        """A sign against its address and not the machine: no answer where one was owed, or none ever."""
+        sign = owed or self.started or not self.proved
+        if self.address is not None and self.actor.way is not None and sign:
+            self.actor.way.broke(self.address, self.up_at, why)
+
+    @property
+    def idle(self) -> bool:
+        return self.sock is not None and not self.open and not self.outgoing and not self.lost
+
+    def close(self) -> None:
+        self.lost = True
+        if self.task is not None and self.begun:  # a task that never ran would leave its descriptor counted
+            self.task.cancel()
+
+    def stalled(self, now: int) -> bool:
+        """An answer was begun and has not gone on for as long as a connection may take to come up."""
+        return not self.between and now - self.heard > self.shared.config.dial_timeout
+
+    async def run(self) -> None:
+        config, work = self.shared.config, list[asyncio.Task[None]]()
+        self.begun = True
+        try:
+            if self.lost:
+                return
+            if self.actor.way is not None:
+                self.sock, self.address = await self.actor.way.connect()
+                self.up_at = clock.now()
+            else:
+                assert self.actor.address is not None
+                self.sock = await connect(self.actor.address, config.dial_timeout / clock.SECOND)
+            self.actor.ramp.up()
+            parts = self._write(self.sock), self._read(self.sock)
+            work = [asyncio.ensure_future(part) for part in parts]
+            done, _ = await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+            self.against("ended")
+        except ProtocolError as error:
+            self.against("an answer that can't be read")
+            self.shared.checks.event("bad answer of a cache", f"{self.actor.host}: {error}")
+        except Unreached as error:
+            self.absent = error.absent
+            self.shared.checks.count("cache connections not up over any address")
+        except TimeoutError:
+            self.absent = True
+            self.shared.checks.count("cache connections not up in time")
+        except ConnectionRefusedError:
+            self.absent = True
+            self.shared.checks.count("cache connections refused")
+        except OSError:  # told to the module by how its attempts end
+            self.shared.checks.count("cache connections reset")
+            self.against("reset")
+        finally:
+            for task in work:
+                task.cancel()
+            await asyncio.gather(*work, return_exceptions=True)
+            if self.sock is not None:
+                self.sock.close()
+            self.shared.descriptors.cache(-1)
+            self._drop()
+
+    def _drop(self) -> None:
+        """The connection is gone: what was not written whole never ran, of the rest nothing is known.
+
+        Only a refusal, or none come up in time, says that the machine is not there. One reset as it was new
+        is no such sign, nor is one that had been up: the next connection will tell.
+        """
+        self.lost = True
+        if self.absent:
+            self.actor.ramp.failed()
+        if self in self.actor.connections:
+            self.actor.connections.remove(self)
+        if self.body is not None:
+            self.body.release()
+            self.body = None
+        way, open = self.actor.way, dict(self.open)
+        unwritten = {what: command for what, command in self.outgoing if what is not None}
+        self.open.clear()
+        for id, what in open.items():
+            begun = what in self.started
+            if way is None:
+                unsent = Ending.CONNECT_FAILED if self.absent else Ending.MOOT
+                self.actor.ended(what, Ending.RESET if begun else unsent, clock.now())
+            else:
+                other = begun and self.address is not None and way.another(self.address)
+                self.actor.broken(id, what, begun, self.absent, unwritten.get(what), other)
+        self.started.clear()
+        self.outgoing.clear()
+
+    async def _write(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            while not self.outgoing:
+                self.wake = loop.create_future()
+                await self.wake
+            what, command = self.outgoing.popleft()
+            stale = self.shared.stale
+            if isinstance(what, OpenAttempt) and (what.recalled or (stale is not None and stale())):
+                # looked at right before its first byte: a front that stood still may have lost its lease
+                self.open.pop(what.request.job, None)
+                self.actor.ended(what, Ending.MOOT, clock.now())
+                continue
+            if what is not None:
+                self.started.add(what)
+            try:
+                if self.address is None:
+                    await loop.sock_sendall(sock, command)
+                else:
+                    await send_proved(sock, command)
+            except Unsent:
+                if what is not None:
+                    self.started.discard(what)
+                    self.outgoing.appendleft((what, command))
+                raise
+            except OSError:  # its last bytes were not taken
+                # what went out in part over one of several addresses counts as read
+                if what is not None and self.address is None:
+                    self.started.discard(what)
+                raise
+
+    async def _read(self, sock: socket.socket) -> None:
+        """Answers as they come. A buffer is held while bytes are taken in and not while they are waited for:
+
+        idle connections would use the pool up, and no new one could hear its answer. It is read until nothing
+        is left before it is waited for: the loop stops looking at a socket that was reset with bytes unread.
+        """
+        loop, decoder, pool, row = asyncio.get_running_loop(), lines.Decoder(), self.shared.pool, 0
+        await self._readable(loop, sock)
+        try:
+            while True:
+                while (buffers := pool.take()) is None:
+                    await asyncio.sleep(NO_BUFFER_PAUSE)
+                try:
+                    view = memoryview(buffers[0])
+                    size = sock.recv_into(view)
+                    if not size:
+                        break
+                    await self._take_in(decoder, view[:size])
+                    row += 1
+                except (BlockingIOError, InterruptedError):
+                    row = 0
+                finally:
+                    pool.give(buffers)
+                if not row:
+                    await self._readable(loop, sock)
+                elif row % READS == 0:  # others get their turn
+                    await asyncio.sleep(0)
+        finally:
+            if self.reading:
+                loop.remove_reader(sock)
+        if not decoder.between:
+            raise ProtocolError("the connection ends inside an answer")
+
+    async def _readable(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        """Until there is something to read. The reader of the loop stays, made once a connection."""
+        self.ready = loop.create_future()
+        if not self.reading:
+            self.reading = True
+            loop.add_reader(sock, self._rung, loop, sock)
+        await self.ready
+
+    def _rung(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        if self.ready is not None and not self.ready.done():
+            self.ready.set_result(None)
+        else:  # nobody waits for it now; it would ring in each turn
+            self.reading = False
+            loop.remove_reader(sock)
+
+    async def _take_in(self, decoder: lines.Decoder, data: memoryview) -> None:
+        at = self.heard = self.used = clock.now()
+        self.between = True  # a wait for buffers is no fault of the machine
+        for item in decoder.feed(data):
+            match item:
+                case lines.Head():
+                    await self._began(item)
+                case lines.Piece(piece) if self.body is not None:
+                    self.body.append(piece)
+                case lines.Whole():
+                    self._whole(at)
+        self.between = decoder.between
+
+    async def _began(self, head: lines.Head) -> None:
+        what = self.open.get(head.id)
+        self.head = head
+        if what is None or what not in self.started:  # a second copy, a late one, or of an id never asked
+            self.surplus = True
+            return
+        self.surplus = False
+        if isinstance(what, Probe) != (head.word in PROBE_WORDS):
+            raise ProtocolError(f"the answer {head.word} to another command")
+        if isinstance(what, OpenAttempt) and head.word == "unchanged" and not what.request.known:
+            raise ProtocolError("unchanged, though no copy was named")
+        if isinstance(what, OpenAttempt) and head.word == "data":
+            self.body = await self.shared.room(head.length)
+
+    def _whole(self, at: int) -> None:
+        head, body, self.head, self.body = self.head, self.body, None, None
+        assert head is not None
+        if self.address is not None and not self.proved and self.actor.way is not None:
+            self.proved = True
+            self.actor.way.heard(self.address)
+        what = None if self.surplus else self.open.pop(head.id, None)
+        if what is None:  # or given up before its answer was whole
+            known = head.id in self.ghosts
+            self.shared.checks.count("late or second answers dropped" if known else "unasked answers dropped")
+            if body is not None:
+                body.release()
+        else:
+            self.started.discard(what)
+            self.past(head.id)
+            if not self.open:
+                self.actor.freed(self)
+            self.actor.answered(what, head, body, at)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -19,7 +19,7 @@
 from quincepier.memory.pool import BufferPool
 from quincepier.memory.requests import OpenAttempt, OpenRequest, Requests
 from quincepier.net.actor import Actor
-from quincepier.net.cache import CacheActor, Shared
+from quincepier.net.cache import CacheActor
 from quincepier.net.means import Means
 from quincepier.net.messages import (
     Answer,
@@ -35,6 +35,7 @@
     Send,
     ToModule,
 )
+from quincepier.net.shared import Shared
 from quincepier.net.sockets import Descriptors
 from quincepier.policy import Router
 from quincepier.recovery import fronts_that_ask
--- /dev/null
+++ b/quincepier/net/shared.py
@@ -0,0 +1,63 @@
+"""What the actors of all caches use, and who of them waits for buffers or a descriptor."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from quincepier.config import FrontConfig
+from quincepier.memory.pool import Body
+from quincepier.net.means import Means
+
+if TYPE_CHECKING:
+    from quincepier.net.cache import CacheActor
+    from quincepier.net.dialer import Dialer  # imported only where machines have several addresses
+
+
+class Shared:
+    """What all cache actors use, and who waits for buffers."""
+
+    def __init__(self, means: Means, make_room: Callable[[], None]) -> None:
+        self.means, self.checks, self.pool = means, means.checks, means.pool
+        self.descriptors, self.module, self.make_room = means.descriptors, means.module, make_room
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self.actors: dict[int, CacheActor] = {}
+        self.dialer: Dialer | None = None  # where the operators' file has several addresses a machine
+        self.stale: Callable[[], bool] | None = None  # whether what was decided before may not hold any more
+        self.pool.on_free = self.freed
+
+    @property
+    def config(self) -> FrontConfig:
+        return self.means.config
+
+    def freed(self) -> None:
+        while self.waiting:
+            room = self.waiting.popleft()
+            if not room.done():
+                room.set_result(None)
+
+    def share(self) -> int:
+        """How many connections one machine may have while others have some too."""
+        users = sum(1 for actor in self.actors.values() if actor.connections)
+        return max(self.descriptors.caches_most // (users + 1), 1)
+
+    def descriptor(self) -> bool:
+        """Whether there is one for a connection more; the one idle for longest goes where there is none."""
+        if self.descriptors.caches < self.descriptors.caches_most:
+            return True
+        idle = [c for actor in self.actors.values() for c in actor.connections if c.idle]
+        if idle:
+            min(idle, key=lambda c: c.used).close()
+        return bool(idle)
+
+    async def room(self, length: int) -> Body:
+        """Buffers for so many bytes; nothing more is read from the connection until they are there."""
+        while (body := Body.of_length(self.pool, length)) is None:
+            self.checks.count("waits for buffers")
+            self.make_room()
+            freed = asyncio.get_running_loop().create_future()
+            self.waiting.append(freed)
+            await freed
+        return body
--- /dev/null
+++ b/quincepier/net/shop.py
@@ -0,0 +1,201 @@
+"""What all client connections use: who may stay, who is read in which turn, timers, and the parting.
+
+One epoll, itself a reader of the loop, watches all sockets: who wakes is told there once, and is read
+in turns.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import select
+import socket
+from collections.abc import Callable, Hashable
+from typing import TYPE_CHECKING
+
+from quincepier import clock
+from quincepier.clients import Caps, Roll, Turns, Verdict
+from quincepier.net.client import ClientConnection
+from quincepier.net.means import Means
+from quincepier.timers import Patience, Wheel
+from quincepier.translate import class_table
+
+if TYPE_CHECKING:  # imported only where the operators' file tells of clients
+    from quincepier.clients.section import Places
+
+GRAIN = 20 * clock.MS  # of the timers of connections
+LATE = clock.SECOND // 4  # between looks at them; more than that is the front's own standstill
+SWEPT = 2000  # timers looked at in one sweep; what is left is due at the next
+READS, WAKES = 64, 4  # connections read in one turn of the loop: at work, and such as rested for long
+RUNG = 512  # of those that woke told of in one turn
+ACTIVE_FOR = 5 * clock.SECOND  # since bytes last came or went, for a connection to count as at work
+WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
+
+
+class Shop:
+    """What all client connections use."""
+
+    def __init__(self, means: Means, standing: Callable[[], bool], places: Places | None = None) -> None:
+        self.checks, self.pool, self.descriptors = means.checks, means.pool, means.descriptors
+        self.module, self.standing = means.module, standing
+        self.means, self.classes = means, class_table(means.config)
+        self.connections: set[ClientConnection] = set()
+        self.talking: set[ClientConnection] = set()  # those that are not at rest
+        self.places = places
+        most = self.descriptors.clients_most
+        caps = Caps(most) if places is None else places.caps(most)
+        self.roll: Roll[ClientConnection] = Roll(caps)
+        self.bodies, self.bodies_most = 0, means.budget.bodies
+        buffers = means.pool.take()
+        assert buffers is not None, "the first buffer of the pool is there"
+        self.scratch = memoryview(buffers[0])  # all connections are read into it, each for a moment
+        now = clock.now()
+        self.patience = Patience(now, LATE)
+        self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
+        self.active: Turns[ClientConnection] = Turns(READS)
+        self.waking: Turns[ClientConnection] = Turns(WAKES)
+        self.turning = False
+        self.epoll: select.epoll | None = None  # made with the first connection
+        self.by_fd: dict[int, ClientConnection] = {}
+        self.random = random.Random(means.config.seed)
+        self.parting = self.refusing = False  # see part; what comes is answered with a refusal at once
+
+    def follow(self, places: Places | None) -> None:
+        """The operators tell other limits: they hold for who comes from now on, and for who rests."""
+        self.places = places
+        most = self.descriptors.clients_most
+        self.roll.caps = Caps(most) if places is None else places.caps(most)
+
+    def network(self, host: str) -> tuple[Hashable, int]:
+        """Whose connection it is, and how many it may have (0: as all); one network for all by default."""
+        return ("", 0) if self.places is None else self.places.network(host)
+
+    def admit(self, sock: socket.socket, host: str = "") -> ClientConnection | None:
+        """A connection for a new client's socket; closed where there is no room, or who goes for it is."""
+        connection = ClientConnection(self, sock)
+        verdict, gone = self.roll.came(connection, *self._network(host))
+        if verdict is not Verdict.STAYS:
+            full = verdict is Verdict.FULL
+            why = "descriptors used up" if full else "its network is at its cap"
+            self.checks.event(f"new client closed: {why}", "" if full else host)
+            sock.close()
+            return None
+        for other in gone:
+            self.checks.event("idle client closed: descriptors used up")
+            other.close()
+        self.descriptors.client(1)
+        self.connections.add(connection)
+        connection.start()
+        return connection
+
+    def _network(self, host: str) -> tuple[Hashable, int, int]:
+        name, cap = self.network(host)
+        return name, self.patience.read(clock.now()), cap
+
+    def wait_ms(self) -> int | None:
+        """What a client is told whom the front itself refuses: spread, so that not all come back together."""
+        most = self.means.config.wait_ms
+        return None if most is None else max(int(self.random.uniform(WAIT_LEAST, 1) * most), 1)
+
+    def make_room(self) -> None:
+        """The pool is used up. Of the client that has taken nothing for longest, answers not begun become
+        failures; where there are none, what has begun is cut by closing its connection."""
+        held = sorted((c for c in self.talking if c.talk and c.talk.sending), key=lambda c: c.moved)
+        for connection in held:
+            if connection.fail_unbegun():
+                self.checks.event("answers failed: buffers used up")
+                return
+        if held:
+            self.checks.event("slow client closed: buffers used up")
+            held[0].close()
+
+    def hold(self, connection: ClientConnection, held: int) -> None:
+        """Account for what a connection has sent of requests not whole yet; the one that holds most goes."""
+        self.bodies += held - connection.held
+        connection.held = held
+        if self.bodies > self.bodies_most and held:
+            self.checks.event("client closed: too much half-sent")
+            max(self.talking, key=lambda c: c.held).close()
+
+    def sweep(self, now: int) -> None:
+        """Look at the timers that are due. Time in which nobody looked is the front's and does not count."""
+        time = self.patience.read(now)
+        for _ in range(SWEPT):
+            timer = self.wheel.take(time)
+            if timer is None:
+                break
+            connection, resume = timer.what
+            try:
+                connection.due(time, resume)
+            except Exception as error:
+                self.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
+                connection.close()
+
+    # Turns of the loop
+
+    def watch(self, connection: ClientConnection) -> None:
+        """From now on who has something to read is told of it, once for all that is there."""
+        if self.epoll is None:
+            self.epoll = select.epoll()
+            asyncio.get_running_loop().add_reader(self.epoll.fileno(), self._rung)
+        self.by_fd[connection.sock.fileno()] = connection
+        self.epoll.register(connection.sock, select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET)
+
+    def unwatch(self, connection: ClientConnection) -> None:
+        if self.epoll is not None and self.by_fd.pop(connection.sock.fileno(), None) is not None:
+            self.epoll.unregister(connection.sock)
+
+    def _rung(self) -> None:
+        """A part of those that woke; the loop rings again where there are more."""
+        if self.epoll is not None:
+            for fd, _ in self.epoll.poll(0, RUNG):
+                connection = self.by_fd.get(fd)
+                if connection is not None:
+                    connection.ready()
+
+    def may_read(self, connection: ClientConnection) -> bool:
+        """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
+        self._turn_comes()
+        return self._lane(connection).may(connection)
+
+    def read_on(self, connection: ClientConnection) -> None:
+        """It has more to read than its part of a turn."""
+        self._turn_comes()
+        self._lane(connection).wait(connection)
+
+    def _lane(self, connection: ClientConnection) -> Turns[ClientConnection]:
+        """Who rested for long does not come before those who are at work, nor do these keep it out."""
+        busy = connection.talk is not None or clock.now() - connection.moved < ACTIVE_FOR
+        return self.active if busy else self.waking
+
+    def leave_line(self, connection: ClientConnection) -> None:
+        self.active.leave(connection)
+        self.waking.leave(connection)
+
+    def _turn_comes(self) -> None:
+        if not self.turning:
+            self.turning = True
+            asyncio.get_running_loop().call_soon(self._turn)
+
+    def _turn(self) -> None:
+        for connection in self.active.turn() + self.waking.turn():
+            connection.receive()
+        if waiting := len(self.active.line) + len(self.waking.line):
+            self.checks.count("reads that waited for a turn", waiting)
+            asyncio.get_running_loop().call_soon(self._turn)
+        else:
+            self.turning = False
+
+    def part(self) -> None:
+        """The front ends: from now on a connection goes with the last answer owed there.
+
+        Else a client that sends row after row would hold the drain up to its end, and lose its last row.
+        Who has asked for nothing yet stays: that first request is answered.
+        """
+        self.parting = True
+        for connection in [c for c in self.connections if c.asked]:
+            connection.part()
+
+    def quiet(self) -> bool:
+        """Nothing that was asked here whole is unanswered or on its way out."""
+        return not any(connection.owed for connection in self.talking)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -13,17 +13,20 @@
 from quincepier import interface as io
 from quincepier.lifecycle import front
 from quincepier.net import client
+from quincepier.net.listener import Listener
+from quincepier.net.shop import Shop
+from quincepier.net.talk import Outgoing, Talk
 from quincepier.wire import changelog, fastcgi, lines
 
 
 def twice() -> None:
-    plain = client.Outgoing._pieces
+    plain = Outgoing._pieces
 
-    def pieces(self: client.Outgoing, head: bytes) -> Iterator[bytes]:
+    def pieces(self: Outgoing, head: bytes) -> Iterator[bytes]:
         yield from plain(self, head)
         yield fastcgi.record(3, self.stream, bytes(8))  # END_REQUEST; the right one follows
 
-    client.Outgoing._pieces = pieces  # type: ignore[method-assign]
+    Outgoing._pieces = pieces  # type: ignore[method-assign]
 
 
 def bids() -> None:
@@ -70,7 +73,7 @@
 
 
 def restart_at_once() -> None:
-    async def drain(self: front.Front, listener: client.Listener) -> None:
+    async def drain(self: front.Front, listener: Listener) -> None:
         logger.info("drain: none")
 
     front.Front._drain = drain  # type: ignore[method-assign]
@@ -78,13 +81,13 @@
 
 def restart_to_the_end() -> None:
     restart_takes_on()
-    client.Shop.part = lambda self: None  # type: ignore[method-assign]
+    Shop.part = lambda self: None  # type: ignore[method-assign]
 
 
 def restart_takes_on() -> None:
     plain = client.ClientConnection._call
 
-    def call(self: client.ClientConnection, talk: client.Talk, call: fastcgi.Call, at: int) -> None:
+    def call(self: client.ClientConnection, talk: Talk, call: fastcgi.Call, at: int) -> None:
         self.shop.refusing = False
         plain(self, talk, call, at)
 
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -19,10 +19,11 @@
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.memory.requests import OpenAttempt
 from quincepier.net.actor import Mailbox
-from quincepier.net.client import Outgoing, Shop, cgi_head
 from quincepier.net.messages import Came, Ended, Left
 from quincepier.net.module import ModuleActor
+from quincepier.net.shop import Shop
 from quincepier.net.sockets import Descriptors
+from quincepier.net.talk import Outgoing, cgi_head
 from tests.fcgikit import Reader
 from tests.frontkit import Inbox, host, make_config, open_request, raw_config
 from tests.standins import Cache, until
@@ -275,7 +276,7 @@
     async def fails(address: tuple[str, int], timeout: float) -> None:
         raise error
 
-    monkeypatch.setattr("quincepier.net.cache.connect", fails)
+    monkeypatch.setattr("quincepier.net.connection.connect", fails)
 
     async def play() -> None:
         def script(event: io.Event) -> list[io.Action]:
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -18,9 +18,10 @@
 from quincepier.memory.budget import Budget
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.net.actor import Mailbox
-from quincepier.net.client import READS, WAKES, ClientConnection, Shop
+from quincepier.net.client import ClientConnection
 from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, ToModule
+from quincepier.net.shop import READS, WAKES, Shop
 from quincepier.net.sockets import Descriptors
 from tests.fcgikit import Reader, begin, call, params, rec
 from tests.frontkit import make_config
