--- a/quincepier/policy/parts.py
+++ b/quincepier/policy/parts.py
@@ -15,8 +15,7 @@
 PACE_EASY, BORNE_FADE = 1.3, 15 * SECOND  # times the best's, to keep its keys; served work counts half in
 HOT_SHARE, HOT_OF = 0.25, 32  # widening (design), of so many requests; a share of very few says nothing
 BOUND_START, BOUND_LEAST, BOUND_EACH = 16, 12, 4  # fills in flight (design); at least a zone's, and each's
-STOOD = 2 * SECOND  # a standstill of the front itself after which it finds all anew
-EXTRA_FIRST = 8.0  # had at the start; where all fronts return at once, saved ones would come at once too
+STOOD, EXTRA_FIRST = 2 * SECOND, 8.0  # own standstill after which all is found anew; all may start at once
 DEADLINE, HOLD, ROUND, RELIST, WATCH = range(5)  # kinds of timer, in the lowest bits of a token
 
 
--- a/quincepier/policy/placement.py
+++ b/quincepier/policy/placement.py
@@ -8,7 +8,7 @@
 from quincepier.policy.parts import HOT_OF, HOT_SHARE, PACE_EASY, RELIST, SECOND, Node, Request
 from quincepier.policy.trust import Trust
 
-CROWD = 0.6  # part of the slowing a class stands that a full cache link may use before its requests are held
+CROWD, FILL_PART = 0.6, 0.5  # of the slowing a class stands; a fill of a quick cache waits for its source
 HIT_MEMORY = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fill (design)
 
 
@@ -75,10 +75,11 @@
         return next((n for n in ranked if self.usable(n, req)), None)
 
     def crowded(self, node: Node, req: Request) -> bool:  # whether one more of this class would come late
-        n, work, aim = self.sharers(node), self.work_of(req), self.aim(req)  # more fronts leave more room
-        late = node.pace.times(self.now) * work > (CROWD + (1 - CROWD) / n) * aim
+        n, work, aim, pace = self.sharers(node), self.work_of(req), self.aim(req), node.pace.times(self.now)
+        count = sum(FILL_PART if a.fill and pace < PACE_EASY else 1 for a in node.out.values()) + 1
         listed = self.s.sizes_compare and node.machine.size > 0  # what a kind was seen to bear is no limit
-        return late or listed and len(node.out) + 1 > max(CROWD * aim / work * node.machine.size / n, 2)
+        late = pace * work > (CROWD + (1 - CROWD) / n) * aim  # more fronts leave more room
+        return late or listed and count > max(CROWD * aim / work * node.machine.size / n, 2)
 
     def known(self, node: Node, req: Request) -> bool:
         return self.now - self.hits.get((node.machine.cache, req.key), self.now - HIT_MEMORY) < HIT_MEMORY
