--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -12,7 +12,6 @@
 
 from quincepier import clock
 from quincepier.checks import Checks
-from quincepier.errors import QuincepierError
 from quincepier.net.fleet.seat import Seat
 from quincepier.net.fleet.words import Granted, Report, Turn
 from quincepier.rules import (
@@ -24,6 +23,7 @@
     RuleVersion,
     Seen,
     apply,
+    decode,
     encode,
     first,
 )
@@ -154,16 +154,18 @@
             self.checks.event("changes that exclude each other", error.line())
             changes = changes[:1]
             version = apply(base, self.term, tuple(changes))
+        raw = encode(version)
+        try:
+            decode(raw)
+        except RulesError as error:  # a defect of a planner: what no front could read is not agreed
+            self.checks.event("version not proposed", error.line())
+            return
         self.ahead, self.proposed, self.proposed_at = 0, version.number, now
         told = "; ".join(c.why for c in changes)
         self.why = {version.number: told or "the first, or numbers go on above the fronts'"}
         self.checks.count("versions proposed")
-        self.proposal = encode(version)
-        try:
-            self.seat.propose(self.proposal)
-        except QuincepierError:  # too long: it is on no log, so it is planned anew by what is wished then
-            self.proposed = 0
-            raise
+        self.proposal = raw
+        self.seat.propose(raw)
 
     def _wanted(self, seen: Seen) -> Iterable[Change]:
         for planner in self.planners():
