--- a/quincepier/net/fleet/chair.py
+++ b/quincepier/net/fleet/chair.py
@@ -12,7 +12,6 @@
 
 from quincepier import clock
 from quincepier.checks import Checks
-from quincepier.errors import QuincepierError
 from quincepier.net.fleet.seat import Seat
 from quincepier.net.fleet.words import Granted, Report, Turn
 from quincepier.rules import (
@@ -166,11 +165,7 @@
         self.why = {version.number: told or "the first, or numbers go on above the fronts'"}
         self.checks.count("versions proposed")
         self.proposal = raw
-        try:
-            self.seat.propose(self.proposal)
-        except QuincepierError:  # too long: it is on no log, so it is planned anew by what is wished then
-            self.proposed = 0
-            raise
+        self.seat.propose(raw)
 
     def _wanted(self, seen: Seen) -> Iterable[Change]:
         for planner in self.planners():
