--- a/tests/test_consistency.py
+++ b/tests/test_consistency.py
@@ -323,7 +323,7 @@
 @pytest.mark.parametrize("site", SITES)
 def test_no_real_decision_is_without_a_reason(site: str) -> None:
     counts = Counter[Reason]()
-    for seed in range(4):
+    for seed in range(8):
         witness = witnessed(site, seed)
         assert list(witness.breaches) == []
         counts += witness.counts
