--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,19 @@
-"""For all tests: no verdict rests on how long an example takes."""
+"""For all tests: no verdict rests on how long an example takes, nor on what the tests before left in memory."""
 
+from __future__ import annotations
+
+import pytest
 from hypothesis import settings
 
+from quincepier.lifecycle import front
+
+OWN_MEMORY = 20 << 20  # bytes, as of a front that has just started
+
 settings.register_profile("no clock", deadline=None)
 settings.load_profile("no clock")
+
+
+@pytest.fixture(autouse=True)
+def own_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A front shares out what its process has left of its limit, and this process holds all other tests too."""
+    monkeypatch.setattr(front, "own_memory", lambda: OWN_MEMORY)
--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -21,7 +21,6 @@
 from quincepier import clock
 from quincepier import interface as io
 from quincepier.config import read_front
-from quincepier.lifecycle import front as lifecycle_front
 from quincepier.lifecycle.front import Front
 from quincepier.memory.machines import Directory
 from quincepier.memory.requests import OpenRequest
@@ -36,7 +35,6 @@
 NEVER = 1e6  # seconds
 DRAIN_GRACE, PURGE_GRACE, SLACK = 2.0, 0.5, 0.05  # seconds; frontkit's settings are read for the rest
 EVERY, WORK, SIZE = 0.02, 0.1, 1.0  # seconds between requests, of work each; transfers a cache can carry
-OWN_MEMORY = 20 << 20  # bytes, as of a front that has just started
 PURGED = 17  # the group of what is asked for
 
 
@@ -82,8 +80,6 @@
         self.settings = copy.deepcopy(SETTINGS)
         self.config = raw_config(changelog=self.log.address, known=self.log.known(), settings=self.settings)
         (self.folder / "config.json").write_text(json.dumps(self.config))
-        # buffers are shared out of what the process itself leaves, and this one holds all other tests too
-        self.patch.setattr(lifecycle_front, "own_memory", lambda: OWN_MEMORY)
         self.front = Front(read_front(self.config, {}), str(self.folder / "config.json"))
         self.patch.setattr(self.front.changes.random, "uniform", lambda least, most: most)  # the worst draws
         self.front.module.begin()
