--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""For all tests: no verdict rests on how long an example takes, nor on what the tests before left in memory."""
+"""For all tests: no verdict rests on how long an example takes, nor on what earlier tests left in memory."""
 
 from __future__ import annotations
 
@@ -15,5 +15,5 @@
 
 @pytest.fixture(autouse=True)
 def own_memory(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A front shares out what its process has left of its limit, and this process holds all other tests too."""
+    """A front shares out what its process has left, and this process holds all other tests too."""
     monkeypatch.setattr(front, "own_memory", lambda: OWN_MEMORY)
