Names of the field for client connections, sessions, the watch and the active clock

Pure renames by the glossary: Shop is ConnectionManager (net/clients.py), Talk is Session (net/session.py), Roll is ConnectionRegistry (clients/registry.py), Patience is ActiveClock (timers/active.py), ChangesActor is Watch (net/watch.py); part and parting of a drain are close_gracefully, drain and draining; deaf is read_closed. No counter, log event or setting has another name.

--- a/quincepier/clients/__init__.py
+++ b/quincepier/clients/__init__.py
@@ -1,10 +1,10 @@
 """Who of the clients' connections may stay: caps by network, and who is closed first for a new one.
 
 It decides on admission and on who goes; it never closes a socket, reads a clock or judges a request. Read
-`roll.py`; docs/idle.md tells the whole.
+`registry.py`; docs/idle.md tells the whole.
 """
 
-from quincepier.clients.roll import Caps, Roll, Verdict
+from quincepier.clients.registry import Caps, ConnectionRegistry, Verdict
 from quincepier.clients.turns import Turns
 
-__all__ = ["Caps", "Roll", "Turns", "Verdict"]
+__all__ = ["Caps", "ConnectionRegistry", "Turns", "Verdict"]
--- a/quincepier/clients/roll.py
+++ b/quincepier/clients/registry.py
@@ -1,4 +1,4 @@
-"""The roll of clients' connections: whom to admit, and who goes where there is no room.
+"""The registry of clients' connections: whom to admit, and who goes where there is no room.
 
 A connection is new (it has not asked yet), busy (it is owed something) or at rest. For a new one at the limit
 there go, in this order: of the network that holds most connections, who came and never asked within its time;
@@ -44,7 +44,7 @@
         self.resting: OrderedDict[K, int] = OrderedDict()
 
 
-class Roll(Generic[K]):
+class ConnectionRegistry(Generic[K]):
     """All changes take constant time, apart from finding who goes, which looks at one network."""
 
     def __init__(self, caps: Caps) -> None:
--- a/quincepier/clients/section.py
+++ b/quincepier/clients/section.py
@@ -9,7 +9,7 @@
 import msgspec
 import netaddr
 
-from quincepier.clients.roll import Caps
+from quincepier.clients.registry import Caps
 
 MS = 1_000_000
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -19,11 +19,11 @@
 from quincepier.memory.budget import own_memory, share_out
 from quincepier.memory.pool import BufferPool
 from quincepier.net.actor import Actor
-from quincepier.net.changes import ChangesActor
+from quincepier.net.clients import ConnectionManager
 from quincepier.net.listener import Listener
 from quincepier.net.module import ModuleActor
-from quincepier.net.shop import Shop
 from quincepier.net.sockets import Descriptors, listen
+from quincepier.net.watch import Watch
 
 if TYPE_CHECKING:  # imported only where an operators' file is named
     from quincepier.lifecycle.operators import Operators
@@ -51,8 +51,8 @@
         if operators is not None:
             operators.equip(self.module)
         places = operators.places if operators is not None else None
-        self.shop = Shop(self.module.means, lambda: self.module.standing, places)
-        self.changes = ChangesActor(self.module.means)
+        self.manager = ConnectionManager(self.module.means, lambda: self.module.standing, places)
+        self.watch = Watch(self.module.means)
         self.keeper = operators.keeper(self.module) if operators is not None else None
         self.peers = operators.peers(self.module) if operators is not None else None
         self.fleet = operators.fleet(self.module, self.peers) if operators is not None else None
@@ -60,13 +60,13 @@
         self.lag_most = 0
 
     def _make_room(self) -> None:
-        self.shop.make_room()
+        self.manager.make_room()
 
     async def serve(self) -> None:
         """Until a SIGTERM or SIGINT has been drained. OSError or PeersError where an address can't be had."""
         loop = asyncio.get_running_loop()
         sock = listen(self.config.listen)
-        listener = Listener(self.shop, sock)
+        listener = Listener(self.manager, sock)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.term.set)
         signals.on_reload(self.reload)
@@ -75,8 +75,8 @@
             await self.keeper.recall()
         if self.peers is not None:
             await self.peers.start()
-        self.changes.start()
-        await self.changes.up_to_date()
+        self.watch.start()
+        await self.watch.up_to_date()
         if self.fleet is not None:
             await self.fleet.start()
         listener.start()
@@ -99,10 +99,10 @@
             await self.keeper.end()
         signals.on_reload(None)
         upkeep.cancel()
-        actors: list[Actor[Any]] = [listener, self.changes]
+        actors: list[Actor[Any]] = [listener, self.watch]
         for actor in (*actors, *self.module.caches.values()):
             actor.cancel()
-        for connection in list(self.shop.connections):
+        for connection in list(self.manager.connections):
             connection.close()
         self.module.cancel()
         await asyncio.sleep(0)
@@ -122,7 +122,7 @@
             return
         means.config = config
         if self.operators is not None and file is not None:
-            changed, left = self.operators.take(file, self.module, self.shop)
+            changed, left = self.operators.take(file, self.module, self.manager)
             if self.fleet is not None:
                 self.operators.wishes(self.fleet)
             now, later = now + changed, later + left
@@ -134,7 +134,7 @@
             told_later = logger.bind(event="changed only at the next start", keys=held)
             told_later.warning("changed only at the next start: {}", held)
         if "changelog" in now:
-            self.changes.move()
+            self.watch.move()
 
     async def _drain(self, listener: Listener) -> None:
         """Serve on while clients may still come, then until nothing is open, and end before the kill."""
@@ -147,11 +147,11 @@
             await asyncio.sleep(TICK / 5)
             spent = (clock.now() - began) / clock.SECOND
             if spent >= DRAIN_LEAST:
-                self.shop.refusing = spent >= most - DRAIN_REFUSES
-                self.shop.part()
+                self.manager.refusing = spent >= most - DRAIN_REFUSES
+                self.manager.drain()
                 if self._quiet() or spent >= most:
                     break
-        self.shop.refusing = True  # nothing is taken any more that would be answered by nobody
+        self.manager.refusing = True  # nothing is taken any more that would be answered by nobody
         if not self._quiet():
             left = self.module.requests.unanswered
             told = logger.bind(event="drain ends", requests=left)
@@ -161,7 +161,7 @@
 
     def _quiet(self) -> bool:
         """Nothing asked whole is unanswered; what is half-sent holds no drain up."""
-        return not self.module.requests.unanswered and self.shop.quiet()
+        return not self.module.requests.unanswered and self.manager.quiet()
 
     async def _upkeep(self) -> None:
         """Sweep overdue and idle connections, watch the loop's lag, tell counters that moved."""
@@ -175,7 +175,7 @@
                 if ticks % SWEEP_EVERY == 0:
                     now = clock.now()
                     late = now - swept > 1.5 * SWEEP_EVERY * TICK * clock.SECOND  # by the front's own fault
-                    self.shop.sweep(now)
+                    self.manager.sweep(now)
                     self.module.sweep(now, late)
                     swept = now
             except Exception as error:
--- a/quincepier/lifecycle/operators.py
+++ b/quincepier/lifecycle/operators.py
@@ -15,12 +15,12 @@
     from quincepier.addresses.section import AddressesSection
     from quincepier.clients.section import Places
     from quincepier.consistency.section import ConsistencySection
+    from quincepier.net.clients import ConnectionManager
     from quincepier.net.fleet.fleet import Fleet
     from quincepier.net.keeper import Keeper
     from quincepier.net.module import ModuleActor
     from quincepier.net.peers import Peers
     from quincepier.net.peers.divide import Divider
-    from quincepier.net.shop import Shop
 
 
 ONLY_AT_A_START = ("state", "members", "agreement", "consistency")  # what they say changes at a start alone
@@ -153,7 +153,9 @@
         """The file read anew, checked and not yet in force; raises OperatorError."""
         return checked(self.path)
 
-    def take(self, file: OperatorFile, module: ModuleActor, shop: Shop) -> tuple[list[str], list[str]]:
+    def take(
+        self, file: OperatorFile, module: ModuleActor, manager: ConnectionManager
+    ) -> tuple[list[str], list[str]]:
         """Put a file in force that was read anew: the sections that changed, and those left for a start."""
         names = dict.fromkeys((*self.file.names, *file.names))
         differ = [name for name in names if file.named(name) != self.file.named(name)]
@@ -166,5 +168,5 @@
         if "addresses" in differ and "addresses" not in later and section is not None:
             module.follow_addresses(section)
         if "clients" in differ:
-            shop.follow(self.places)
+            manager.follow(self.places)
         return [n for n in differ if n not in later], later
--- a/quincepier/net/shop.py
+++ b/quincepier/net/clients.py
@@ -1,4 +1,4 @@
-"""What all client connections use: who may stay, who is read in which turn, timers, and the parting.
+"""What all client connections use: who may stay, who is read in which turn, timers, and the drain.
 
 One epoll, itself a reader of the loop, watches all sockets: who wakes is told there once, and is read
 in turns.
@@ -14,10 +14,10 @@
 from typing import TYPE_CHECKING
 
 from quincepier import clock
-from quincepier.clients import Caps, Roll, Turns, Verdict
+from quincepier.clients import Caps, ConnectionRegistry, Turns, Verdict
 from quincepier.net.client import ClientConnection
 from quincepier.net.means import Means
-from quincepier.timers import Patience, Wheel
+from quincepier.timers import ActiveClock, Wheel
 from quincepier.translate import class_table
 
 if TYPE_CHECKING:  # imported only where the operators' file tells of clients
@@ -32,7 +32,7 @@
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
 
-class Shop:
+class ConnectionManager:
     """What all client connections use."""
 
     def __init__(self, means: Means, standing: Callable[[], bool], places: Places | None = None) -> None:
@@ -40,17 +40,17 @@
         self.module, self.standing = means.module, standing
         self.means, self.classes = means, class_table(means.config)
         self.connections: set[ClientConnection] = set()
-        self.talking: set[ClientConnection] = set()  # those that are not at rest
+        self.in_session: set[ClientConnection] = set()  # those that are not at rest
         self.places = places
         most = self.descriptors.clients_most
         caps = Caps(most) if places is None else places.caps(most)
-        self.roll: Roll[ClientConnection] = Roll(caps)
+        self.registry: ConnectionRegistry[ClientConnection] = ConnectionRegistry(caps)
         self.bodies, self.bodies_most = 0, means.budget.bodies
         buffers = means.pool.take()
         assert buffers is not None, "the first buffer of the pool is there"
         self.scratch = memoryview(buffers[0])  # all connections are read into it, each for a moment
         now = clock.now()
-        self.patience = Patience(now, LATE)
+        self.active_clock = ActiveClock(now, LATE)
         self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
         self.active: Turns[ClientConnection] = Turns(READS)
         self.waking: Turns[ClientConnection] = Turns(WAKES)
@@ -58,13 +58,13 @@
         self.epoll: select.epoll | None = None  # made with the first connection
         self.by_fd: dict[int, ClientConnection] = {}
         self.random = random.Random(means.config.seed)
-        self.parting = self.refusing = False  # see part; what comes is answered with a refusal at once
+        self.draining = self.refusing = False  # see drain; what comes is answered with a refusal at once
 
     def follow(self, places: Places | None) -> None:
         """The operators tell other limits: they hold for who comes from now on, and for who rests."""
         self.places = places
         most = self.descriptors.clients_most
-        self.roll.caps = Caps(most) if places is None else places.caps(most)
+        self.registry.caps = Caps(most) if places is None else places.caps(most)
 
     def network(self, host: str) -> tuple[Hashable, int]:
         """Whose connection it is, and how many it may have (0: as all); one network for all by default."""
@@ -73,7 +73,7 @@
     def admit(self, sock: socket.socket, host: str = "") -> ClientConnection | None:
         """A connection for a new client's socket; closed where there is no room, or who goes for it is."""
         connection = ClientConnection(self, sock)
-        verdict, gone = self.roll.came(connection, *self._network(host))
+        verdict, gone = self.registry.came(connection, *self._network(host))
         if verdict is not Verdict.STAYS:
             full = verdict is Verdict.FULL
             why = "descriptors used up" if full else "its network is at its cap"
@@ -90,7 +90,7 @@
 
     def _network(self, host: str) -> tuple[Hashable, int, int]:
         name, cap = self.network(host)
-        return name, self.patience.read(clock.now()), cap
+        return name, self.active_clock.read(clock.now()), cap
 
     def wait_ms(self) -> int | None:
         """What a client is told whom the front itself refuses: spread, so that not all come back together."""
@@ -100,7 +100,7 @@
     def make_room(self) -> None:
         """The pool is used up. Of the client that has taken nothing for longest, answers not begun become
         failures; where there are none, what has begun is cut by closing its connection."""
-        held = sorted((c for c in self.talking if c.talk and c.talk.sending), key=lambda c: c.moved)
+        held = sorted((c for c in self.in_session if c.session and c.session.sending), key=lambda c: c.moved)
         for connection in held:
             if connection.fail_unbegun():
                 self.checks.event("answers failed: buffers used up")
@@ -115,11 +115,11 @@
         connection.held = held
         if self.bodies > self.bodies_most and held:
             self.checks.event("client closed: too much half-sent")
-            max(self.talking, key=lambda c: c.held).close()
+            max(self.in_session, key=lambda c: c.held).close()
 
     def sweep(self, now: int) -> None:
         """Look at the timers that are due. Time in which nobody looked is the front's and does not count."""
-        time = self.patience.read(now)
+        time = self.active_clock.read(now)
         for _ in range(SWEPT):
             timer = self.wheel.take(time)
             if timer is None:
@@ -165,7 +165,7 @@
 
     def _lane(self, connection: ClientConnection) -> Turns[ClientConnection]:
         """Who rested for long does not come before those who are at work, nor do these keep it out."""
-        busy = connection.talk is not None or clock.now() - connection.moved < ACTIVE_FOR
+        busy = connection.session is not None or clock.now() - connection.moved < ACTIVE_FOR
         return self.active if busy else self.waking
 
     def leave_line(self, connection: ClientConnection) -> None:
@@ -186,16 +186,16 @@
         else:
             self.turning = False
 
-    def part(self) -> None:
+    def drain(self) -> None:
         """The front ends: from now on a connection goes with the last answer owed there.
 
         Else a client that sends row after row would hold the drain up to its end, and lose its last row.
         Who has asked for nothing yet stays: that first request is answered.
         """
-        self.parting = True
+        self.draining = True
         for connection in [c for c in self.connections if c.asked]:
-            connection.part()
+            connection.close_gracefully()
 
     def quiet(self) -> bool:
         """Nothing that was asked here whole is unanswered or on its way out."""
-        return not any(connection.owed for connection in self.talking)
+        return not any(connection.owed for connection in self.in_session)
--- a/quincepier/net/listener.py
+++ b/quincepier/net/listener.py
@@ -1,4 +1,4 @@
-"""The listener: it accepts new clients and hands them to the shop."""
+"""The listener: it accepts new clients and hands them to the connection manager."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 import socket
 
 from quincepier.net.actor import Actor
-from quincepier.net.shop import Shop
+from quincepier.net.clients import ConnectionManager
 from quincepier.net.sockets import no_delay
 
 ACCEPTS = 8  # new clients in a row
 
 
 class Listener(Actor[None]):
-    """Accepts clients, a few in a row; who stays is told by the roll."""
+    """Accepts clients, a few in a row; who stays is told by the registry."""
 
     name = "listener"
 
-    def __init__(self, shop: Shop, sock: socket.socket) -> None:
-        super().__init__(shop.checks, 1)
-        self.shop, self.sock = shop, sock
+    def __init__(self, manager: ConnectionManager, sock: socket.socket) -> None:
+        super().__init__(manager.checks, 1)
+        self.manager, self.sock = manager, sock
 
     async def run(self) -> None:
         loop, taken = asyncio.get_running_loop(), 0
@@ -32,6 +32,6 @@
                 self.checks.event("accept failed", str(error))
                 await asyncio.sleep(0.01)
                 continue
-            self.shop.admit(sock, address[0])
+            self.manager.admit(sock, address[0])
             if (taken := taken + 1) % ACCEPTS == 0:  # the others get their turn in a storm of new clients
                 await asyncio.sleep(0)
--- a/quincepier/net/talk.py
+++ b/quincepier/net/session.py
@@ -51,7 +51,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-class Talk:
+class Session:
     """What a connection needs while it is not at rest."""
 
     __slots__ = ("control", "decoder", "inbox", "keep", "open", "sending", "unfinished", "unfinished_at")
@@ -63,7 +63,7 @@
         self.sending: deque[Outgoing] = deque()
         self.control: deque[tuple[int, bytes]] = deque()  # whole and short: 0 or the request, and its bytes
         self.inbox: deque[Answer] = deque()
-        self.unfinished: object = None  # what is half-sent, and since when by the shop's patience
+        self.unfinished: object = None  # what is half-sent, and since when by the manager's active clock
         self.unfinished_at = 0
 
     @property
--- a/quincepier/net/changes.py
+++ b/quincepier/net/watch.py
@@ -46,7 +46,7 @@
         self.whole = True
 
 
-class ChangesActor(Actor[None]):
+class Watch(Actor[None]):
     name = "change log"
 
     def __init__(self, means: Means) -> None:
--- a/quincepier/timers/__init__.py
+++ b/quincepier/timers/__init__.py
@@ -4,7 +4,7 @@
 what a timer is about. Read `wheel.py` first.
 """
 
-from quincepier.timers.patience import Patience
+from quincepier.timers.active import ActiveClock
 from quincepier.timers.wheel import Timer, Wheel
 
-__all__ = ["Patience", "Timer", "Wheel"]
+__all__ = ["ActiveClock", "Timer", "Wheel"]
--- a/quincepier/timers/patience.py
+++ b/quincepier/timers/active.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class Patience:
+class ActiveClock:
     """Nanoseconds that went by while we were there. Read at least every `step`: more was our lateness.
 
     A clock that stands still or jumps back adds nothing; one that jumps ahead adds a step.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -13,9 +13,9 @@
 from quincepier import interface as io
 from quincepier.lifecycle import front
 from quincepier.net import client
+from quincepier.net.clients import ConnectionManager
 from quincepier.net.listener import Listener
-from quincepier.net.shop import Shop
-from quincepier.net.talk import Outgoing, Talk
+from quincepier.net.session import Outgoing, Session
 from quincepier.wire import changelog, fastcgi, lines
 
 
@@ -81,15 +81,15 @@
 
 def restart_to_the_end() -> None:
     restart_takes_on()
-    Shop.part = lambda self: None  # type: ignore[method-assign]
+    ConnectionManager.drain = lambda self: None  # type: ignore[method-assign]
 
 
 def restart_takes_on() -> None:
     plain = client.ClientConnection._call
 
-    def call(self: client.ClientConnection, talk: Talk, call: fastcgi.Call, at: int) -> None:
-        self.shop.refusing = False
-        plain(self, talk, call, at)
+    def call(self: client.ClientConnection, session: Session, call: fastcgi.Call, at: int) -> None:
+        self.manager.refusing = False
+        plain(self, session, call, at)
 
     client.ClientConnection._call = call  # type: ignore[method-assign]
 
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -19,11 +19,11 @@
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.memory.requests import OpenAttempt
 from quincepier.net.actor import Mailbox
+from quincepier.net.clients import ConnectionManager
 from quincepier.net.messages import Came, Ended, Left
 from quincepier.net.module import ModuleActor
-from quincepier.net.shop import Shop
+from quincepier.net.session import Outgoing, cgi_head
 from quincepier.net.sockets import Descriptors
-from quincepier.net.talk import Outgoing, cgi_head
 from tests.fcgikit import Reader
 from tests.frontkit import Inbox, host, make_config, open_request, raw_config
 from tests.standins import Cache, until
@@ -302,15 +302,15 @@
 def test_a_client_closed_as_it_comes_leaves_nothing_behind() -> None:
     async def play() -> None:
         actor, _ = make_module(lambda event: [])
-        shop = Shop(actor.means, lambda: True)
+        manager = ConnectionManager(actor.means, lambda: True)
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
-        connection = shop.admit(ours)
-        assert connection is not None and shop.roll.first(clock.now()) is connection
+        connection = manager.admit(ours)
+        assert connection is not None and manager.registry.first(clock.now()) is connection
         connection.close()
-        await until(lambda: not shop.connections, "it is gone")
-        assert (shop.descriptors.clients, ours.fileno(), shop.pool.used) == (0, -1, 1)
-        assert shop.roll.first(clock.now()) is None and not shop.wheel
+        await until(lambda: not manager.connections, "it is gone")
+        assert (manager.descriptors.clients, ours.fileno(), manager.pool.used) == (0, -1, 1)
+        assert manager.registry.first(clock.now()) is None and not manager.wheel
         theirs.close()
 
     asyncio.run(play())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,48 +8,51 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quincepier.clients import Caps, Roll, Turns, Verdict
+from quincepier.clients import Caps, ConnectionRegistry, Turns, Verdict
 from quincepier.clients.section import ClientsSection, Places
 from quincepier.operator import OperatorError, read
 
 MS = 1_000_000
 
 
-def full_roll(caps: Caps, *networks: tuple[str, int]) -> Roll[str]:
+def full_roll(caps: Caps, *networks: tuple[str, int]) -> ConnectionRegistry[str]:
     """Each connection named by its network and number, all at rest, in the order they came."""
-    roll: Roll[str] = Roll(caps)
+    registry: ConnectionRegistry[str] = ConnectionRegistry(caps)
     now = 0
     for network, count in networks:
         for n in range(count):
             now += MS
-            assert roll.came(f"{network}{n}", network, now)[0] is Verdict.STAYS
-            roll.asked(f"{network}{n}")
-            roll.rests(f"{network}{n}", now)
-    return roll
+            assert registry.came(f"{network}{n}", network, now)[0] is Verdict.STAYS
+            registry.asked(f"{network}{n}")
+            registry.rests(f"{network}{n}", now)
+    return registry
 
 
 def test_by_default_age_alone_decides_as_ever() -> None:
-    roll: Roll[str] = Roll(Caps(3))
+    registry: ConnectionRegistry[str] = ConnectionRegistry(Caps(3))
     for n, who in enumerate(("a", "b", "c")):
-        roll.came(who, "", n)
+        registry.came(who, "", n)
     late = 600 * MS
-    roll.asked("b")
-    roll.rests("b", 5)
-    assert roll.first(10) == "b"  # who came just now may be about to ask
-    assert roll.first(late) == "a"  # who never asked goes first
-    roll.asked("a")
-    roll.asked("c")
-    assert roll.came("d", "", late) == (Verdict.STAYS, ["b"])
-    assert roll.came("e", "", late) == (Verdict.STAYS, ["d"])  # nobody rests: the newest that has not asked
-    roll.asked("e")
-    assert roll.came("f", "", late) == (Verdict.FULL, [])  # all are owed something
+    registry.asked("b")
+    registry.rests("b", 5)
+    assert registry.first(10) == "b"  # who came just now may be about to ask
+    assert registry.first(late) == "a"  # who never asked goes first
+    registry.asked("a")
+    registry.asked("c")
+    assert registry.came("d", "", late) == (Verdict.STAYS, ["b"])
+    assert registry.came("e", "", late) == (
+        Verdict.STAYS,
+        ["d"],
+    )  # nobody rests: the newest not to ask
+    registry.asked("e")
+    assert registry.came("f", "", late) == (Verdict.FULL, [])  # all are owed something
 
 
 def test_one_large_network_makes_room_for_itself_and_for_small_ones() -> None:
-    roll = full_roll(Caps(100), ("small", 4), ("large", 96))
+    registry = full_roll(Caps(100), ("small", 4), ("large", 96))
     now = 10_000 * MS
-    gone = [roll.came(f"more{n}", "large", now + n)[1][0] for n in range(50)]
-    gone += [roll.came(f"new{n}", f"other{n}", now + 100 + n)[1][0] for n in range(20)]
+    gone = [registry.came(f"more{n}", "large", now + n)[1][0] for n in range(50)]
+    gone += [registry.came(f"new{n}", f"other{n}", now + 100 + n)[1][0] for n in range(20)]
     assert not any(who.startswith("small") for who in gone) and len(set(gone)) == 70
 
 
@@ -57,15 +60,15 @@
     """Each of 200 clients comes back as it is closed: with a least rest few are closed, else all in turn."""
     closed = {}
     for least in (0, 5000 * MS):
-        roll, now, shut = Roll[int](Caps(100, rest_least=least, slack=4)), 0, 0
+        registry, now, shut = ConnectionRegistry[int](Caps(100, rest_least=least, slack=4)), 0, 0
         waiting = list(range(200))
         for _ in range(2000):
             now += MS
             who = waiting.pop(0)
-            verdict, gone = roll.came(who, "crowd", now)
+            verdict, gone = registry.came(who, "crowd", now)
             if verdict is Verdict.STAYS:
-                roll.asked(who)
-                roll.rests(who, now)
+                registry.asked(who)
+                registry.rests(who, now)
             else:
                 waiting.append(who)
             waiting += gone
@@ -75,32 +78,34 @@
 
 
 def test_caps_of_networks_and_of_all() -> None:
-    roll: Roll[int] = Roll(Caps(100, each=2))
-    assert [roll.came(n, "a", n)[0] for n in range(2)] == [Verdict.STAYS] * 2
-    roll.asked(0)
-    roll.asked(1)
-    assert roll.came(2, "a", 5)[0] is Verdict.CAPPED
-    roll.rests(0, 6)
-    assert roll.came(2, "a", 7) == (Verdict.STAYS, [0])  # its own makes room
-    assert [roll.came(n, "b", 8, cap=3)[0] for n in (10, 11, 12)] == [Verdict.STAYS] * 3
+    registry: ConnectionRegistry[int] = ConnectionRegistry(Caps(100, each=2))
+    assert [registry.came(n, "a", n)[0] for n in range(2)] == [Verdict.STAYS] * 2
+    registry.asked(0)
+    registry.asked(1)
+    assert registry.came(2, "a", 5)[0] is Verdict.CAPPED
+    registry.rests(0, 6)
+    assert registry.came(2, "a", 7) == (Verdict.STAYS, [0])  # its own makes room
+    assert [registry.came(n, "b", 8, cap=3)[0] for n in (10, 11, 12)] == [Verdict.STAYS] * 3
 
 
 def test_rest_is_bounded_where_the_operators_ask() -> None:
-    roll: Roll[str] = Roll(Caps(10, rest_most=100))
-    roll.came("a", "", 0)
-    assert roll.rests_until("a") is None
-    roll.asked("a")
-    roll.rests("a", 50)
-    assert roll.rests_until("a") == 150
-    roll.asked("a")
-    assert roll.rests_until("a") is None and roll.rests_until("gone") is None
+    registry: ConnectionRegistry[str] = ConnectionRegistry(Caps(10, rest_most=100))
+    registry.came("a", "", 0)
+    assert registry.rests_until("a") is None
+    registry.asked("a")
+    registry.rests("a", 50)
+    assert registry.rests_until("a") == 150
+    registry.asked("a")
+    assert registry.rests_until("a") is None and registry.rests_until("gone") is None
 
 
 @settings(derandomize=True, max_examples=200)
 @given(st.integers(0, 2**32), st.integers(1, 12), st.integers(0, 5), st.integers(1, 4))
 def test_the_counts_hold_and_who_is_owed_something_stays(seed: int, most: int, each: int, slack: int) -> None:
     chance = random.Random(seed)
-    roll: Roll[int] = Roll(Caps(most, each=each, rest_least=chance.randrange(50), slack=slack, new_for=20))
+    registry: ConnectionRegistry[int] = ConnectionRegistry(
+        Caps(most, each=each, rest_least=chance.randrange(50), slack=slack, new_for=20)
+    )
     inside: dict[int, str] = {}
     busy: set[int] = set()
     for step in range(150):
@@ -109,25 +114,25 @@
         who = chance.choice(list(inside)) if inside and what else 1000 + step
         if what == 0 or not inside:
             network = chance.choice("abc")
-            verdict, gone = roll.came(who, network, now)
+            verdict, gone = registry.came(who, network, now)
             assert not set(gone) & busy and set(gone) <= set(inside), "who is owed something stays"
             for one in gone:
                 del inside[one]
             if verdict is Verdict.STAYS:
                 inside[who] = network
         elif what == 1:
-            roll.asked(who)
+            registry.asked(who)
             busy.add(who)
         elif what in (2, 3):
-            roll.rests(who, now)
+            registry.rests(who, now)
             busy.discard(who)
         else:
-            roll.left(who)
+            registry.left(who)
             del inside[who]
             busy.discard(who)
-        assert len(roll) == len(inside) <= most
+        assert len(registry) == len(inside) <= most
         sizes = {name: list(inside.values()).count(name) for name in set(inside.values())}
-        assert {name: n.size for name, n in roll.networks.items()} == sizes
+        assert {name: n.size for name, n in registry.networks.items()} == sizes
         assert not each or max(sizes.values(), default=0) <= each
 
 
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -19,9 +19,9 @@
 from quincepier.memory.pool import Body, BufferPool
 from quincepier.net.actor import Mailbox
 from quincepier.net.client import ClientConnection
+from quincepier.net.clients import READS, WAKES, ConnectionManager
 from quincepier.net.means import Means
 from quincepier.net.messages import Answer, Came, ToModule
-from quincepier.net.shop import READS, WAKES, Shop
 from quincepier.net.sockets import Descriptors
 from tests.fcgikit import Reader, begin, call, params, rec
 from tests.frontkit import make_config
@@ -31,23 +31,23 @@
 PING = call(1, {"SCRIPT_NAME": "/ping"})
 
 
-def make_shop(sockets: int = 1024, places: Places | None = None) -> Shop:
+def make_manager(sockets: int = 1024, places: Places | None = None) -> ConnectionManager:
     checks, pool = Checks(), BufferPool(8)
     module: Mailbox[ToModule] = Mailbox(4096)
     budget = Budget(buffers=8, bodies=1 << 20, requests=4096)
     means = Means(make_config(), checks, pool, Descriptors(sockets), module, budget)
-    return Shop(means, lambda: True, places)
+    return ConnectionManager(means, lambda: True, places)
 
 
 class Peer:
-    """The other end of a connection of the shop."""
+    """The other end of a connection of the manager."""
 
-    def __init__(self, shop: Shop) -> None:
+    def __init__(self, manager: ConnectionManager) -> None:
         ours, self.sock = socket.socketpair()
         ours.setblocking(False)
         self.sock.setblocking(False)
         self.reader = Reader()
-        connection = shop.admit(ours)
+        connection = manager.admit(ours)
         assert connection is not None
         self.connection: ClientConnection = connection
 
@@ -70,20 +70,20 @@
 
 def test_at_rest_a_connection_holds_neither_task_nor_buffer_nor_decoder() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        peers = [Peer(shop) for _ in range(200)]
+        manager = make_manager()
+        peers = [Peer(manager) for _ in range(200)]
         for peer in peers:
             peer.sock.send(PING)
         await until(lambda: all(peer.answered(1) for peer in peers), "all are answered")
-        assert not shop.talking and all(peer.connection.talk is None for peer in peers)
-        assert len(asyncio.all_tasks()) == 1 and shop.pool.used == 1  # the buffer all are read into
-        shop.sweep(clock.now())
+        assert not manager.in_session and all(peer.connection.session is None for peer in peers)
+        assert len(asyncio.all_tasks()) == 1 and manager.pool.used == 1  # the buffer all are read into
+        manager.sweep(clock.now())
         for step in range(1, 40):  # the first deadlines pass and none is set again
-            shop.sweep(clock.now() + step * clock.SECOND // 10)
-        assert len(shop.wheel) == 0 and len(shop.connections) == 200
+            manager.sweep(clock.now() + step * clock.SECOND // 10)
+        assert len(manager.wheel) == 0 and len(manager.connections) == 200
         for peer in peers:
             peer.connection.close()
-        assert not shop.connections and shop.descriptors.clients == 0 and len(shop.roll) == 0
+        assert not manager.connections and manager.descriptors.clients == 0 and len(manager.registry) == 0
 
     on_loop(scenario)
 
@@ -91,8 +91,8 @@
 @pytest.mark.parametrize(("rested", "slice"), [(False, READS), (True, WAKES)])
 def test_a_storm_is_read_in_slices_and_what_else_the_loop_has_comes_between(rested: bool, slice: int) -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        peers = [Peer(shop) for _ in range(400)]
+        manager = make_manager()
+        peers = [Peer(manager) for _ in range(400)]
         for peer in peers:
             peer.connection.moved -= rested * 60 * clock.SECOND
         await asyncio.sleep(0)
@@ -109,8 +109,8 @@
         await until(lambda: all(peer.answered(1) for peer in peers), "all are answered")
         steps = [b - a for a, b in zip(seen, seen[1:], strict=False)]
         assert max(steps) <= 2 * slice and sum(step > 0 for step in steps) >= len(peers) // (2 * slice)
-        assert (shop.waking if rested else shop.active).longest > 0
-        assert not shop.waking.line and not shop.active.line
+        assert (manager.waking if rested else manager.active).longest > 0
+        assert not manager.waking.line and not manager.active.line
         for peer in peers:
             peer.connection.close()
 
@@ -119,8 +119,8 @@
 
 def test_who_is_at_work_is_served_before_a_crowd_that_wakes() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        crowd, few = [Peer(shop) for _ in range(400)], [Peer(shop) for _ in range(3)]
+        manager = make_manager()
+        crowd, few = [Peer(manager) for _ in range(400)], [Peer(manager) for _ in range(3)]
         for peer in crowd:
             peer.connection.moved -= 60 * clock.SECOND
             peer.sock.send(PING)
@@ -137,13 +137,13 @@
 
 def test_the_time_that_a_request_stood_in_line_counts() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        peers = [Peer(shop) for _ in range(3 * READS)]
+        manager = make_manager()
+        peers = [Peer(manager) for _ in range(3 * READS)]
         await asyncio.sleep(0)
         for peer in peers:
             peer.sock.send(call(1, params("1" * 16)))
-        await until(lambda: len(shop.module.last) == len(peers), "all are read")
-        came = [message.request.came for message in shop.module.last if isinstance(message, Came)]
+        await until(lambda: len(manager.module.last) == len(peers), "all are read")
+        came = [message.request.came for message in manager.module.last if isinstance(message, Came)]
         assert max(came) - min(came) < clock.now() - min(came)  # those read last were there before
         first, last = came[READS - 1], came[READS:]
         assert sum(at < first + (clock.now() - first) // 2 for at in last) > READS
@@ -155,17 +155,17 @@
 
 def test_wake_and_close_in_one_turn_and_half_of_all_closing_at_once() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        peers = [Peer(shop) for _ in range(300)]
+        manager = make_manager()
+        peers = [Peer(manager) for _ in range(300)]
         for peer in peers[::2]:
             peer.sock.send(call(1, params("1" * 16)))
             peer.sock.close()
         for peer in peers[1::2]:
             peer.sock.send(PING)
-        await until(lambda: len(shop.connections) == 150, "half are gone")
+        await until(lambda: len(manager.connections) == 150, "half are gone")
         await until(lambda: all(peer.answered(1) for peer in peers[1::2]), "the others are answered")
-        assert shop.descriptors.clients == len(shop.roll) == 150 and not shop.bodies
-        assert "exception in the client actor" not in shop.checks.counts
+        assert manager.descriptors.clients == len(manager.registry) == 150 and not manager.bodies
+        assert "exception in the client actor" not in manager.checks.counts
         for peer in peers[1::2]:
             peer.connection.close()
 
@@ -176,28 +176,31 @@
     """The reset comes with bytes unread: the loop tells of it once, and then no more."""
 
     async def scenario() -> None:
-        shop = make_shop()
+        manager = make_manager()
         with socket.create_server(("127.0.0.1", 0)) as server:
             for _ in range(20):
                 peer = socket.create_connection(server.getsockname())
                 ours, _ = server.accept()
                 ours.setblocking(False)
-                shop.admit(ours)
+                manager.admit(ours)
                 await asyncio.sleep(0)
                 peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 peer.send(call(1, params("1" * 16)))
                 peer.close()
-        await until(lambda: not shop.connections, "all are gone")
-        assert shop.descriptors.clients == 0
+        await until(lambda: not manager.connections, "all are gone")
+        assert manager.descriptors.clients == 0
 
     on_loop(scenario)
 
 
 def test_a_pool_used_up_keeps_nobody_from_asking() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        assert shop.pool.take(shop.pool.most - shop.pool.used) is not None and shop.pool.take() is None
-        peer = Peer(shop)
+        manager = make_manager()
+        assert (
+            manager.pool.take(manager.pool.most - manager.pool.used) is not None
+            and manager.pool.take() is None
+        )
+        peer = Peer(manager)
         peer.sock.send(PING)
         await until(lambda: peer.answered(1), "it is answered")
         peer.connection.close()
@@ -207,56 +210,61 @@
 
 def test_half_a_record_then_silence_is_closed_by_time_and_standstill_counts_for_nobody() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        half, silent, usual = Peer(shop), Peer(shop), Peer(shop)
+        manager = make_manager()
+        half, silent, usual = Peer(manager), Peer(manager), Peer(manager)
         half.sock.send(begin(1) + rec(4, 1)[:5])
         usual.sock.send(PING)
-        await until(lambda: usual.answered(1) and half.connection.talk is not None, "they are read")
+        await until(lambda: usual.answered(1) and half.connection.session is not None, "they are read")
         now = clock.now()
         for _ in range(5):  # the front stood still five times for a minute
             now += 60 * clock.SECOND
-            shop.sweep(now)
-        assert {half.connection, silent.connection, usual.connection} == shop.connections
+            manager.sweep(now)
+        assert {half.connection, silent.connection, usual.connection} == manager.connections
         for _ in range(12):
             now += clock.SECOND // 5
-            shop.sweep(now)
-        assert shop.connections == {usual.connection}
-        assert shop.checks.counts["client closed: half a request for too long"] == 0  # it never asked whole
-        assert shop.checks.counts["client closed: no whole request in time"] == 2
+            manager.sweep(now)
+        assert manager.connections == {usual.connection}
+        assert (
+            manager.checks.counts["client closed: half a request for too long"] == 0
+        )  # it never asked whole
+        assert manager.checks.counts["client closed: no whole request in time"] == 2
         usual.sock.send(begin(2) + rec(4, 2)[:5])
-        await until(lambda: usual.connection.talk is not None, "it is read")
+        await until(lambda: usual.connection.session is not None, "it is read")
         for _ in range(14):
             now += clock.SECOND // 5
-            shop.sweep(now)
-        assert not shop.connections and shop.checks.counts["client closed: half a request for too long"] == 1
+            manager.sweep(now)
+        assert (
+            not manager.connections
+            and manager.checks.counts["client closed: half a request for too long"] == 1
+        )
 
     on_loop(scenario)
 
 
 def test_answers_that_the_socket_does_not_take_go_on_later_and_an_untaken_last_one_is_cut() -> None:
     async def scenario() -> None:
-        shop = make_shop()
-        peer, large = Peer(shop), os.urandom(40_000) * 6
+        manager = make_manager()
+        peer, large = Peer(manager), os.urandom(40_000) * 6
         peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         peer.sock.send(b"".join(call(n, params(f"{n:016x}")) for n in range(1, 33)))
-        await until(lambda: len(shop.module.last) == 32, "all are asked")
-        shop.pool.most = 1000
-        while (message := shop.module.take()) is not None:
+        await until(lambda: len(manager.module.last) == 32, "all are asked")
+        manager.pool.most = 1000
+        while (message := manager.module.take()) is not None:
             assert isinstance(message, Came)
-            body = Body.of_length(shop.pool, len(large))
+            body = Body.of_length(manager.pool, len(large))
             assert body is not None
             body.append(large)
             message.request.owner.push(Answer(message.request, 200, body))
         await until(lambda: peer.connection.writer is not None, "the socket is full")
         assert peer.connection.owed
         await until(lambda: all(peer.answered(n) for n in range(1, 33)), "all are taken in the end")
-        assert all(got.body == large for got in peer.reader.got.values()) and shop.pool.used == 1
-        await until(lambda: peer.connection.talk is None, "it rests")
+        assert all(got.body == large for got in peer.reader.got.values()) and manager.pool.used == 1
+        await until(lambda: peer.connection.session is None, "it rests")
         peer.sock.send(call(40, params("f" * 16), keep=False))
-        await until(lambda: bool(shop.module.last), "the last is asked")
-        message = shop.module.take()
+        await until(lambda: bool(manager.module.last), "the last is asked")
+        message = manager.module.take()
         assert isinstance(message, Came)
-        body = Body.of_length(shop.pool, len(large))
+        body = Body.of_length(manager.pool, len(large))
         assert body is not None
         body.append(large)
         message.request.owner.push(Answer(message.request, 200, body))
@@ -264,9 +272,9 @@
         now = clock.now()
         while not peer.connection.closed:
             now += clock.SECOND // 5
-            shop.sweep(now)
-        await until(lambda: not shop.connections, "its socket is closed behind its writer")
-        assert shop.pool.used == 1 and shop.descriptors.clients == 0
+            manager.sweep(now)
+        await until(lambda: not manager.connections, "its socket is closed behind its writer")
+        assert manager.pool.used == 1 and manager.descriptors.clients == 0
 
     on_loop(scenario)
 
@@ -274,40 +282,40 @@
 def test_at_the_limit_a_crowd_of_one_network_does_not_push_out_another() -> None:
     async def scenario() -> None:
         section = ClientsSection(each=0, rest_least_ms=0, slack=1)
-        shop = make_shop(64, Places(section))
-        most, few = shop.descriptors.clients_most, list[ClientConnection]()
+        manager = make_manager(64, Places(section))
+        most, few = manager.descriptors.clients_most, list[ClientConnection]()
 
         def come(host: str) -> ClientConnection | None:
             ours, theirs = socket.socketpair()
             ours.setblocking(False)
             kept.append(theirs)
-            return shop.admit(ours, host)
+            return manager.admit(ours, host)
 
         kept: list[socket.socket] = []
         for n in range(4):
             connection = come(f"192.0.2.{n}")
             assert connection is not None
             few.append(connection)
-            shop.roll.asked(connection)
-            shop.roll.rests(connection, 0)
+            manager.registry.asked(connection)
+            manager.registry.rests(connection, 0)
         for n in range(5 * most):
             connection = come(f"198.51.100.{n % 200}")
             if connection is not None:
-                shop.roll.asked(connection)
-                shop.roll.rests(connection, n)
-        assert len(shop.connections) == most == shop.descriptors.clients
+                manager.registry.asked(connection)
+                manager.registry.rests(connection, n)
+        assert len(manager.connections) == most == manager.descriptors.clients
         assert not any(connection.closed for connection in few)
-        for connection in list(shop.connections):
+        for connection in list(manager.connections):
             connection.close()
 
     on_loop(scenario)
 
 
 def test_what_the_front_itself_refuses_is_told_different_times_to_come_back() -> None:
-    shop = make_shop()
-    told = {shop.wait_ms() for _ in range(50)}
+    manager = make_manager()
+    told = {manager.wait_ms() for _ in range(50)}
     assert len(told) > 20 and all(w is not None and 0.6 * 500 <= w <= 500 for w in told)
-    assert {make_shop().wait_ms() for _ in range(3)} == {make_shop().wait_ms()}  # from the front's seed
+    assert {make_manager().wait_ms() for _ in range(3)} == {make_manager().wait_ms()}  # from the front's seed
 
 
 async def idle(front: Front, count: int) -> list[Client]:
--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -24,7 +24,7 @@
 from quincepier.lifecycle.front import Front
 from quincepier.memory.machines import Directory
 from quincepier.memory.requests import OpenRequest
-from quincepier.net import changes, module, sockets
+from quincepier.net import module, sockets, watch
 from quincepier.net.actor import Actor
 from quincepier.net.messages import Came
 from quincepier.wire.changelog import PurgeRecord
@@ -72,7 +72,7 @@
                 raise ConnectionRefusedError
             return await plain(address, timeout)
 
-        self.patch.setattr(changes, "connect", connect)
+        self.patch.setattr(watch, "connect", connect)
         for cache in self.caches.values():
             await cache.start()
         await self.log.start()
@@ -81,11 +81,11 @@
         self.config = raw_config(changelog=self.log.address, known=self.log.known(), settings=self.settings)
         (self.folder / "config.json").write_text(json.dumps(self.config))
         self.front = Front(read_front(self.config, {}), str(self.folder / "config.json"))
-        self.patch.setattr(self.front.changes.random, "uniform", lambda least, most: most)  # the worst draws
+        self.patch.setattr(self.front.watch.random, "uniform", lambda least, most: most)  # the worst draws
         self.front.module.begin()
-        self.front.changes.start()
+        self.front.watch.start()
         self.upkeep = asyncio.create_task(self.front._upkeep())
-        await self.front.changes.up_to_date()
+        await self.front.watch.up_to_date()
 
     def host(self, name: str, **changed: Any) -> dict[str, Any]:
         kinds = {"p": "parent", "o": "origin"}
@@ -140,7 +140,7 @@
 
     async def end(self) -> None:
         self.upkeep.cancel()
-        actors: list[Actor[Any]] = [self.front.changes, self.front.module]
+        actors: list[Actor[Any]] = [self.front.watch, self.front.module]
         for actor in (*actors, *self.front.module.caches.values()):
             actor.cancel()
         await asyncio.sleep(0.01)
@@ -155,7 +155,7 @@
     story.change(story.log)
     await asyncio.sleep(0.001)
     story.log.late = 0.0
-    story.told_at = story.now + changes.POLL_MS / 1000 + 2
+    story.told_at = story.now + watch.POLL_MS / 1000 + 2
 
 
 async def late(story: Story) -> None:
@@ -220,27 +220,27 @@
     story.way = "up"
 
 
-def deaf(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(changes, "POLL_GRACE", 30.0)
+def read_closed(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(watch, "POLL_GRACE", 30.0)
 
 
 def impatient(patch: pytest.MonkeyPatch) -> None:
-    async def poll(self: changes.ChangesActor) -> bytes:
+    async def poll(self: watch.Watch) -> bytes:
         async with asyncio.timeout(1.1):  # of its whole poll, what is late by more is never heard
             return await plain(self)
 
-    plain = changes.ChangesActor._poll
-    patch.setattr(changes.ChangesActor, "_poll", poll)
+    plain = watch.Watch._poll
+    patch.setattr(watch.Watch, "_poll", poll)
 
 
 def slow_again(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(changes, "BACK_OFF", 30.0)
-    patch.setattr(changes, "BACK_OFF_MOST", 30.0)
+    patch.setattr(watch, "BACK_OFF", 30.0)
+    patch.setattr(watch, "BACK_OFF_MOST", 30.0)
 
 
 def stays(patch: pytest.MonkeyPatch) -> None:
-    deaf(patch)
-    patch.setattr(changes.ChangesActor, "move", lambda self: None)
+    read_closed(patch)
+    patch.setattr(watch.Watch, "move", lambda self: None)
 
 
 def forgets_starts(patch: pytest.MonkeyPatch) -> None:
@@ -265,11 +265,11 @@
 
 def as_before(patch: pytest.MonkeyPatch) -> None:
     """As late as with a back-off of one second that came after a try of half a one."""
-    patch.setattr(changes, "BACK_OFF_MOST", 1.5)
+    patch.setattr(watch, "BACK_OFF_MOST", 1.5)
 
 
 CASES: list[tuple[Callable[[Story], Awaitable[None]], Callable[[pytest.MonkeyPatch], None]]] = [
-    (silent, deaf), (late, impatient), (cut, slow_again), (down, as_before), (refused, slow_again),
+    (silent, read_closed), (late, impatient), (cut, slow_again), (down, as_before), (refused, slow_again),
     (broken_off, slow_again), (moved, stays),
 ]  # fmt: skip
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quincepier.timers import Patience, Timer, Wheel
+from quincepier.timers import ActiveClock, Timer, Wheel
 from quincepier.timers.wheel import REACH
 
 GRAIN = 10
@@ -119,10 +119,10 @@
 
 @pytest.mark.parametrize("gone", [[50] * 10, [2000], [-500, 300], [0, 0, 100]])
 def test_patience_counts_no_standstill_and_never_goes_back(gone: list[int]) -> None:
-    now, patience = 1000, Patience(1000, 100)
+    now, active_clock = 1000, ActiveClock(1000, 100)
     for step in gone:
         now += step
-        before = patience.time
-        assert 0 <= patience.read(now) - before <= 100
-    assert patience.time - 1000 == sum(min(max(step, 0), 100) for step in gone)
-    assert patience.forgiven == sum(max(step - 100, 0) for step in gone)
+        before = active_clock.time
+        assert 0 <= active_clock.read(now) - before <= 100
+    assert active_clock.time - 1000 == sum(min(max(step, 0), 100) for step in gone)
+    assert active_clock.forgiven == sum(max(step - 100, 0) for step in gone)
