--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -102,8 +102,7 @@
         actors: list[Actor[Any]] = [listener, self.watch]
         for actor in (*actors, *self.module.caches.values()):
             actor.cancel()
-        for connection in list(self.manager.connections):
-            connection.close()
+        await self.manager.close_all()
         self.module.cancel()
         await asyncio.sleep(0)
         sock.close()
--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -196,6 +196,11 @@
         for connection in [c for c in self.connections if c.asked]:
             connection.close_gracefully()
 
+    async def close_all(self) -> None:
+        """The front's end: every connection left is closed, and its socket let go of."""
+        for connection in list(self.connections):
+            connection.close()
+
     def quiet(self) -> bool:
         """Nothing that was asked here whole is unanswered or on its way out."""
         return not any(connection.owed for connection in self.in_session)
