--- a/quincepier/memory/requests.py
+++ b/quincepier/memory/requests.py
@@ -34,7 +34,7 @@
     body: bytes
     number: int = -1
     over: bool = False  # it has its final answer, or the client has left
-    gone: bool = False  # its client closed or cancelled: set at once by the connection, before the module hears
+    gone: bool = False  # its client closed or cancelled: set by its connection before the module hears
     tenant: str = ""  # where fronts settle homes of tenants: whose it is, and at which shard it was placed
     shard: str = ""
     attempts: list[OpenAttempt] = field(default_factory=list)
