Client connections: one file for coming and going, one for reading, one for writing

The class is one, over three files, as in the policy; the manager knows the last layer, so the others name it by `itself`.

--- a/quincepier/net/fleet/kept.py
+++ b/quincepier/net/fleet/kept.py
@@ -38,6 +38,3 @@
             file.flush()
             os.fsync(file.fileno())
         os.replace(self.folder / NEW, self.folder / NAME)
-
-
-
--- /dev/null
+++ b/quincepier/net/reading.py
@@ -0,0 +1,151 @@
+"""The reading side of a client connection: bytes in, requests and aborts on to the module."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from quincepier import clock
+from quincepier.net.messages import Came, Left
+from quincepier.net.session import Session, cgi_head
+from quincepier.net.writing import Writing
+from quincepier.translate import PING, BadRequest, open_request
+from quincepier.wire import fastcgi
+from quincepier.wire.errors import ProtocolError
+
+WHOLE_WITHIN = 2.0  # seconds that one message may take
+ROW = 4  # reads of one connection in a row
+FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
+
+
+class Reading(Writing):
+    __slots__ = ()
+
+    # Of the other sides
+
+    def _look_in(self, seconds: float, resume: bool = False) -> None:
+        raise NotImplementedError
+
+    def ready(self) -> None:
+        """There is something to read: now, or as its turn comes. What is paused looks as it resumes."""
+        if not self.reading:
+            return
+        if self.manager.may_read(self.itself):
+            self.receive()
+        else:
+            self.queued_at = self.queued_at or clock.now()
+
+    def receive(self) -> None:
+        """Read and take what came; what goes wrong ends this connection alone.
+
+        Until nothing is left, since it is told once of all that is there.
+        """
+        try:
+            for _ in range(ROW):
+                if not self.reading:  # closed, its read side closed, or paused
+                    return
+                size = self.sock.recv_into(self.manager.scratch)
+                if not size:
+                    self.close()
+                    return
+                self._received(size)
+            if self.reading:
+                self.manager.read_on(self.itself)
+        except (BlockingIOError, InterruptedError):
+            self.queued_at = 0
+        except ProtocolError as error:
+            self.manager.checks.event("client breaks FastCGI", str(error))
+            self.close()
+        except OSError:
+            self.manager.checks.count("client connections broken off")
+            self.close()
+        except Exception as error:
+            self.manager.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
+            self.close()
+
+    def _received(self, size: int) -> None:
+        now, faults, manager = clock.now(), self.faults, self.manager
+        at, self.queued_at = self.queued_at or now, 0  # what stood in line was there before: its time counts
+        self.moved = now
+        session = self.session
+        if session is None:
+            session = self.session = Session(manager.descriptors.clients_most)
+            manager.in_session.add(self.itself)
+        for item in session.decoder.feed(manager.scratch[:size]):
+            match item:
+                case fastcgi.Call():
+                    self._call(session, item, at)
+                case fastcgi.Aborted(stream):
+                    self._abort(session, stream)
+                case fastcgi.Reply(data, closes):
+                    session.control.append((0, data))
+                    self.closing = self.closing or closes
+                    self.read_closed = self.read_closed or closes
+                    self._stir()
+        held = session.decoder.held
+        if held or self.held:
+            manager.hold(self.itself, held)
+            if self.closed:
+                return
+        if self._half(session, manager.active_clock.read(now)):
+            self._look_in(WHOLE_WITHIN)
+        if self.read_closed:
+            self._pause()
+        elif self.faults != faults:  # who goes on sending what can't be used gets little CPU
+            self._pause()
+            self._look_in(min(FAULT_PAUSE * 2 ** min(self.faults, 10), FAULT_PAUSE_MOST), resume=True)
+        self._settle()
+
+    def _call(self, session: Session, call: fastcgi.Call, at: int) -> None:
+        manager = self.manager
+        session.keep[call.id] = call.keep
+        self.asked = True
+        manager.registry.asked(self.itself)
+        if call.params.get("SCRIPT_NAME") == PING and not call.fault:
+            self._say(session, call.id, cgi_head(200 if manager.standing() else 503))
+            return
+        try:
+            request = open_request(call, manager.classes, self, at)
+        except BadRequest as error:
+            self.faults += 1
+            self.read_closed = self.read_closed or bool(call.fault)
+            manager.checks.event("bad request", str(error))
+            self._say(session, call.id, cgi_head(error.status))
+            return
+        if manager.refusing:
+            self._say(session, call.id, cgi_head(503, wait_ms=manager.wait_ms()))
+            return
+        if manager.bodies + len(call.body) > manager.bodies_most:
+            manager.checks.event("request refused: too much open")
+            self._say(session, call.id, cgi_head(503, wait_ms=manager.wait_ms()))
+            return
+        if not manager.module.add(Came(request)):
+            manager.checks.event("request refused: too many waiting")
+            self._say(session, call.id, cgi_head(503, wait_ms=manager.wait_ms()))
+            return
+        session.open[call.id] = request
+        manager.bodies += len(request.body)
+
+    def _abort(self, session: Session, stream: int) -> None:
+        session.keep.pop(stream, None)
+        for outgoing in [o for o in session.sending if o.stream == stream]:
+            session.sending.remove(outgoing)
+            outgoing.release()
+        if session.control:
+            session.control = deque(item for item in session.control if item[0] != stream)
+        request = session.open.pop(stream, None)
+        if request is not None:
+            self._forget(request)
+            self.manager.module.push(Left(request))
+
+    def _half(self, session: Session, now: int) -> bool:
+        """Whether something is half-sent; since when is noted as it begins."""
+        unfinished = session.decoder.unfinished
+        if unfinished is None:
+            session.unfinished = None
+        elif unfinished != session.unfinished:
+            session.unfinished, session.unfinished_at = unfinished, now
+        return unfinished is not None
+
+    def _pause(self) -> None:
+        self.reading = False
+        self.manager.leave_line(self.itself)
