A front ends its own side of a client connection first and reads the other to its end

Seen: ClientConnection.close and ConnectionManager.admit closed sockets whose unread bytes made the system reset the connection; at the front's end every connection was closed without a last read, a writer was cancelled in the middle of an answer, and what waited for the module was failed by nobody. Lines at fault: ClientConnection._shut, close_all, admit, and the fixed sleep behind fail_open.

Change: a close that is not for a broken protocol or a slow reader ends the front's side (SHUT_WR) and reads on for a second at most with nothing done to what comes; it is bounded by the descriptors that clients leave and eight spare ones, the oldest goes first. The end of a drain reads each connection a last time, refuses what comes then or still waits for the module (503), gives answers under way a tenth of a second, and lets nothing linger for longer than 0.15 s. A connection that is overdue or rested too long is read a last time as well.

Ruled out: Python's order of close and unregister (the crossing bytes are put in behind unwatch, and the reset comes from the system).

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -35,7 +35,6 @@
 # the time before that, on connections that are never free, is refused, as it would hardly be done by then.
 DRAIN_LEAST, DRAIN_DEADLINE_MOST, DRAIN_END, DRAIN_REFUSES = 0.75, 3.0, 0.45, 0.5
 GC_AFTER = 10_000  # new objects between looks for circles: what a request leaves has none
-FLUSH = 0.1  # seconds given to the last answers
 
 
 class Front:
@@ -92,6 +91,7 @@
         if self.peers is not None:
             await self.peers.leave()
         await self._drain(listener)
+        await self.manager.close_all()
         if self.fleet is not None:
             self.fleet.end()
         if self.keeper is not None and keeping is not None:
@@ -99,11 +99,9 @@
             await self.keeper.end()
         signals.on_reload(None)
         upkeep.cancel()
-        actors: list[Actor[Any]] = [listener, self.watch]
-        for actor in (*actors, *self.module.caches.values()):
+        actors: list[Actor[Any]] = [listener, self.watch, *self.module.caches.values(), self.module]
+        for actor in actors:
             actor.cancel()
-        await self.manager.close_all()
-        self.module.cancel()
         await asyncio.sleep(0)
         sock.close()
         self._tell("stopped")
@@ -156,7 +154,6 @@
             told = logger.bind(event="drain ends", requests=left)
             told.info("drain ends with {} requests open, answered as failed", left)
             self.module.fail_open()
-            await asyncio.sleep(FLUSH)
 
     def _quiet(self) -> bool:
         """Nothing asked whole is unanswered; what is half-sent holds no drain up."""
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from quincepier import clock
-from quincepier.net.messages import Left
+from quincepier.net.messages import Answer, Left
 from quincepier.net.reading import WHOLE_WITHIN, Reading
 
 # Seconds: to a new connection's first whole request; to a close behind an answer.
@@ -48,8 +48,14 @@
             self.resume()
         why, again = self._overdue(now)
         if why is not None:
-            self.manager.checks.event(f"client closed: {why}")
-            self.close()
+            if self.owed:  # not taken, or broken off
+                self.close()
+            else:  # what has come in this moment is taken before
+                self.close_gracefully()
+            if self.closed:
+                self.manager.checks.event(f"client closed: {why}")
+            else:
+                self._look_in(AGAIN_WITHIN)
         elif again:
             self._look_in(again)
 
@@ -91,8 +97,11 @@
     def cancel(self) -> None:
         self.close()
 
-    def close(self) -> None:
-        """End the connection now, whatever is open on it."""
+    def close(self, linger: bool = False) -> None:
+        """End the connection now, whatever is open on it.
+
+        With `linger` what is written reaches the client, whatever it sends as this is done.
+        """
         if self.closed:
             return
         self.closed = True
@@ -119,19 +128,30 @@
         if self.writer is not None:
             self.writer.cancel()  # the socket closes behind it
         else:
-            self._shut()
+            self._shut(linger)
 
-    def _shut(self) -> None:
-        self.sock.close()
+    def _shut(self, linger: bool = False) -> None:
         self.manager.connections.discard(self)
         self.manager.descriptors.client(-1)
+        if linger:
+            self.manager.lingering.add(self.sock)
+        else:
+            self.sock.close()
 
     def close_gracefully(self) -> None:
         """Closed where nothing is owed, nor by what has come and was not read yet: that is taken first."""
         if not (self.closed or self.owed or self.stirred):
+            self.reading = not self.read_closed  # one that is paused, too
             self.receive()
             if not (self.closed or self.owed or self.stirred):
-                self.close()
+                self.close(linger=True)
+
+    def refuse_waiting(self) -> None:
+        """What the module has not taken up yet is not to be sent on any more."""
+        for request in list(self.session.open.values()) if self.session is not None else ():
+            if request.number < 0:
+                request.over = True
+                self.push(Answer(request, 503, wait_ms=self.manager.wait_ms()))
 
     def fail_unbegun(self) -> int:
         """How many answers with a body, of which nothing was written, became failures."""
@@ -152,7 +172,7 @@
         if self.owed or self.stirred:
             return
         if self.closing:
-            self.close()
+            self.close(linger=True)
             return
         if self.asked:
             self.manager.registry.rests(self, self.manager.active_clock.time)
--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -16,6 +16,7 @@
 from quincepier import clock
 from quincepier.clients import Caps, ConnectionRegistry, Turns, Verdict
 from quincepier.net.client import ClientConnection
+from quincepier.net.lingering import LOOK_EVERY, Lingering
 from quincepier.net.means import Means
 from quincepier.timers import ActiveClock, Wheel
 from quincepier.translate import class_table
@@ -29,6 +30,8 @@
 READS, WAKES = 64, 4  # connections read in one turn of the loop: at work, and such as rested for long
 RUNG = 512  # of those that woke told of in one turn
 ACTIVE_FOR = 5 * clock.SECOND  # since bytes last came or went, for a connection to count as at work
+# Seconds at the front's end: for answers on their way out, then for clients to close their side too.
+FLUSH, LAST = 0.1, 0.15
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
 
@@ -49,6 +52,7 @@
         buffers = means.pool.take()
         assert buffers is not None, "the first buffer of the pool is there"
         self.scratch = memoryview(buffers[0])  # all connections are read into it, each for a moment
+        self.lingering = Lingering(self.descriptors, self.scratch)
         now = clock.now()
         self.active_clock = ActiveClock(now, LATE)
         self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
@@ -78,12 +82,13 @@
             full = verdict is Verdict.FULL
             why = "descriptors used up" if full else "its network is at its cap"
             self.checks.event(f"new client closed: {why}", "" if full else host)
-            sock.close()
+            self.lingering.add(sock)
             return None
         for other in gone:
             self.checks.event("idle client closed: descriptors used up")
-            other.close()
+            other.close(linger=True)
         self.descriptors.client(1)
+        self.lingering.make_room()
         self.connections.add(connection)
         connection.start()
         return connection
@@ -197,9 +202,22 @@
             connection.close_gracefully()
 
     async def close_all(self) -> None:
-        """The front's end: every connection left is closed, and its socket let go of."""
+        """The front's end: every connection left is closed, and its socket let go of.
+
+        Each is read a last time; what comes then or waits for the module is refused at once. Answers on their
+        way out get a moment.
+        """
+        self.draining = self.refusing = True
+        for connection in list(self.connections):
+            connection.refuse_waiting()
+            connection.close_gracefully()
+        until = clock.now() + int(FLUSH * clock.SECOND)
+        while not self.quiet() and clock.now() < until:
+            await asyncio.sleep(LOOK_EVERY)
         for connection in list(self.connections):
-            connection.close()
+            connection.close(linger=True)
+        await asyncio.sleep(0)  # those whose answer is cut let go of their sockets
+        await self.lingering.end(LAST)
 
     def quiet(self) -> bool:
         """Nothing that was asked here whole is unanswered or on its way out."""
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -18,7 +18,7 @@
         usable = max(limit - SPARE, 8)
         self.clients_most = usable // 2
         self.caches_most = usable - self.clients_most
-        self.clients = self.caches = self.peak = 0
+        self.clients = self.caches = self.lingering = self.peak = 0
 
     def client(self, by: int) -> None:
         self.clients += by
@@ -28,8 +28,13 @@
         self.caches += by
         self._mark()
 
+    def lingers(self, by: int) -> None:
+        """Clients' sockets that were closed for writing and are read to their end."""
+        self.lingering += by
+        self._mark()
+
     def _mark(self) -> None:
-        self.peak = max(self.peak, self.clients + self.caches)
+        self.peak = max(self.peak, self.clients + self.caches + self.lingering)
 
 
 def make_socket() -> socket.socket:
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -174,13 +174,13 @@
     def itself(self) -> ClientConnection:
         raise NotImplementedError
 
-    def close(self) -> None:
+    def close(self, linger: bool = False) -> None:
         raise NotImplementedError
 
     def close_gracefully(self) -> None:
         raise NotImplementedError
 
-    def _shut(self) -> None:
+    def _shut(self, linger: bool = False) -> None:
         raise NotImplementedError
 
     def _settle(self) -> None:
--- /dev/null
+++ b/tests/test_crossings_client.py
@@ -0,0 +1,246 @@
+"""Bytes, closes and aborts of clients that come in the very moment in which the front does something else.
+
+The connections are TCP on loopback, in the process of the test: so a client's bytes can be put between the
+last read of a connection and its close, and what the system does with them is seen at the client's end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import select
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from quincepier import clock
+from quincepier.clients.section import ClientsSection, Places
+from quincepier.memory.pool import Body
+from quincepier.net import lingering
+from quincepier.net.client import ClientConnection
+from quincepier.net.clients import ConnectionManager
+from quincepier.net.messages import Answer, Came
+from quincepier.net.sockets import no_delay
+from tests.fcgikit import Reader, call, params
+from tests.standins import until
+from tests.test_idle import PING, make_manager, on_loop
+
+LATE = call(2, params("2" * 16))  # a whole request
+
+
+class Peer:
+    """A client, with its connection at the front."""
+
+    def __init__(self, manager: ConnectionManager, first: bytes = b"") -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            self.sock = socket.create_connection(server.getsockname())
+            self.ours, _ = server.accept()
+        self.ours.setblocking(False)
+        no_delay(self.ours)
+        self.sock.settimeout(20)
+        self.manager, self.reader = manager, Reader()
+        if first:
+            self.send(first)
+        self.connection = manager.admit(self.ours)
+
+    @property
+    def at_front(self) -> ClientConnection:
+        assert self.connection is not None
+        return self.connection
+
+    def send(self, data: bytes) -> None:
+        """Bytes are there for the front when this returns."""
+        self.sock.sendall(data)
+        assert select.select([self.ours], [], [], 20)[0]
+
+    async def to_the_end(self) -> None:
+        """All that comes; ConnectionResetError where the connection does not end as it should."""
+        self.sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(20):
+            while data := await loop.sock_recv(self.sock, 65_536):
+                self.reader.feed(data)
+        self.sock.close()
+
+    async def asked(self, data: bytes = PING) -> None:
+        """It has asked, and has an answer that it does not read yet."""
+        self.send(data)
+        await until(lambda: self.at_front.asked and not self.at_front.owed, "it is answered")
+
+
+def between(manager: ConnectionManager, cross: Callable[[], None]) -> None:
+    """Once, after the last read of a connection that is being closed."""
+    plain = manager.unwatch
+
+    def unwatch(connection: ClientConnection) -> None:
+        manager.unwatch = plain  # type: ignore[method-assign]
+        plain(connection)
+        cross()
+
+    manager.unwatch = unwatch  # type: ignore[method-assign]
+
+
+def taken(manager: ConnectionManager) -> list[str]:
+    return [message.request.job for message in manager.module.last if isinstance(message, Came)]
+
+
+def give(manager: ConnectionManager, request: object, body: bytes) -> None:
+    """The module's answer to what it took up."""
+    manager.pool.most = 1000
+    held = Body.of_length(manager.pool, len(body))
+    assert held is not None
+    held.append(body)
+    request.owner.push(Answer(request, 200, held))  # type: ignore[attr-defined, arg-type]
+
+
+async def drained(manager: ConnectionManager, peer: Peer) -> None:
+    manager.drain()
+
+
+async def ended(manager: ConnectionManager, peer: Peer) -> None:
+    await manager.close_all()
+
+
+async def rested(manager: ConnectionManager, peer: Peer) -> None:
+    now = clock.now()
+    while peer.at_front in manager.connections:
+        now += clock.SECOND // 5
+        manager.sweep(now)
+
+
+async def crowded_out(manager: ConnectionManager, peer: Peer) -> None:
+    while peer.at_front in manager.connections:
+        other = Peer(manager)
+        manager.registry.asked(other.at_front)
+
+
+@pytest.mark.parametrize("close", [drained, ended, rested, crowded_out])
+def test_a_request_that_crosses_a_close_resets_nothing_and_is_not_taken(
+    close: Callable[[ConnectionManager, Peer], asyncio.Future[None]],
+) -> None:
+    async def scenario() -> None:
+        manager = make_manager(64, Places(ClientsSection(rest_least_ms=0, rest_most_s=0.5, slack=1)))
+        peer = Peer(manager)
+        await peer.asked()
+        between(manager, lambda: peer.send(LATE))
+        await asyncio.gather(close(manager, peer), peer.to_the_end())
+        assert peer.reader.got[1].status == 200 and not peer.reader.buffer and not taken(manager)
+
+    on_loop(scenario)
+
+
+def test_a_request_behind_the_last_one_of_a_connection_takes_no_answer_along() -> None:
+    """Without KEEP_CONN the connection ends behind its answer, which is not read yet, and a request comes."""
+
+    async def scenario() -> None:
+        manager, large = make_manager(), os.urandom(40_000) * 6
+        peer = Peer(manager)
+        peer.ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+        peer.send(call(1, params("1" * 16), keep=False))
+        await until(lambda: bool(taken(manager)), "it is asked")
+        between(manager, lambda: peer.send(LATE))
+        message = manager.module.take()
+        assert isinstance(message, Came)
+        give(manager, message.request, large)
+        await until(lambda: not manager.connections, "its side is closed")
+        await peer.to_the_end()
+        assert peer.reader.got[1].body == large and not taken(manager)
+
+    on_loop(scenario)
+
+
+def test_whoever_is_not_let_in_is_told_by_an_end_and_not_by_a_reset() -> None:
+    async def scenario() -> None:
+        manager = make_manager(64, Places(ClientsSection(each=1)))
+        Peer(manager)
+        manager.registry.first = lambda now: None  # type: ignore[method-assign]
+        manager.registry._first = lambda network, now: None  # type: ignore[method-assign]
+        peer = Peer(manager, first=LATE)
+        assert peer.connection is None
+        await peer.to_the_end()
+        assert not peer.reader.got and not taken(manager)
+
+    on_loop(scenario)
+
+
+def test_what_lingers_is_bounded_in_number_and_goes_before_descriptors_are_short() -> None:
+    async def scenario() -> None:
+        manager = make_manager(64)
+        most, room = manager.descriptors.clients_most, lingering.SPARE_LINGERING
+        peers = [Peer(manager) for _ in range(most)]
+        for peer in peers:
+            await peer.asked()
+        for peer in peers:
+            peer.at_front.close_gracefully()
+        assert len(manager.lingering.open) == most and not manager.connections
+        for held in range(1, most + 1):
+            Peer(manager)
+            open_now = len(manager.lingering.open)
+            assert open_now == manager.descriptors.lingering == min(most, most - held + room)
+        assert manager.descriptors.peak <= most + room + 1  # the one that comes is there before others go
+        for peer in peers[: most - room]:  # the oldest: closed on both sides
+            assert peer.ours.fileno() == -1
+        for connection in list(manager.connections):
+            connection.close()
+
+    on_loop(scenario)
+
+
+def test_what_lingers_is_bounded_in_time_and_ends_as_its_client_closes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        manager = make_manager()
+        quick, slow = Peer(manager), Peer(manager)
+        for peer in (quick, slow):
+            await peer.asked()
+        manager.drain()
+        quick.sock.close()
+        await until(lambda: quick.ours.fileno() == -1, "its end is heard")
+        assert slow.ours.fileno() != -1 and manager.descriptors.lingering == 1
+        monkeypatch.setattr(lingering, "LINGERS_FOR", 0.02)
+        slowest = Peer(manager)
+        await slowest.asked()
+        manager.drain()
+        await until(lambda: slowest.ours.fileno() == -1, "its time is over")
+        await manager.lingering.end(0)
+        assert slow.ours.fileno() == -1 and manager.descriptors.lingering == 0
+
+    on_loop(scenario)
+
+
+def test_a_request_that_becomes_whole_after_the_last_read_is_not_sent_on() -> None:
+    """Half of it is read, the rest comes between that and the close; the connection ends, with no reset."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        await peer.asked()
+        peer.send(LATE[:-11])
+        await until(lambda: peer.at_front.session is not None, "half of it is read")
+        between(manager, lambda: peer.send(LATE[-11:]))
+        manager.drain()
+        await peer.to_the_end()
+        assert set(peer.reader.got) == {1} and not taken(manager)
+
+    on_loop(scenario)
+
+
+def test_a_request_that_becomes_whole_by_the_last_read_is_taken_and_answered() -> None:
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        await peer.asked()
+        peer.send(LATE[:-11])
+        await until(lambda: peer.at_front.session is not None, "half of it is read")
+        peer.send(LATE[-11:])
+        manager.drain()  # in the same turn
+        assert taken(manager) == ["2" * 16] and not peer.at_front.closed
+        message = manager.module.take()
+        assert isinstance(message, Came)
+        give(manager, message.request, b"bytes")
+        await peer.to_the_end()
+        assert peer.reader.got[2].body == b"bytes"
+
+    on_loop(scenario)
--- /dev/null
+++ b/tests/test_crossings_drain.py
@@ -0,0 +1,108 @@
+"""The end of a drain: clients that come, ask or take their answers in the moment in which the front ends."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+
+import pytest
+
+from quincepier.net import clients
+from quincepier.net.messages import Came
+from tests.fcgikit import begin, call, params
+from tests.standins import until
+from tests.test_crossings_client import LATE, Peer, between, give, taken
+from tests.test_idle import PING, make_manager, on_loop
+
+
+@pytest.mark.parametrize("before", [b"", PING, begin(2)], ids=["new", "at rest", "half through"])
+def test_what_the_last_read_brings_is_refused_and_not_sent_on(before: bytes) -> None:
+    """Of a client that has asked for nothing yet, of one at rest, and of one that is half through another."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        if before:
+            peer.send(before)
+            await until(lambda: peer.at_front.asked or peer.at_front.session is not None, "it is read")
+        late = call(3, params("3" * 16))
+
+        async def end() -> None:
+            peer.send(late)
+            await manager.close_all()  # in the same turn
+
+        await asyncio.gather(end(), peer.to_the_end())
+        assert peer.reader.got[3].status == 503 and not taken(manager)
+        assert not manager.connections and not manager.lingering.open
+
+    on_loop(scenario)
+
+
+def test_what_waits_for_the_module_at_the_end_is_refused_and_not_sent_on() -> None:
+    """The front stood still over its last moments: what was read just before has not had its turn."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        peer.send(LATE)
+        peer.at_front.receive()
+        (message,) = manager.module.last
+        assert isinstance(message, Came) and not message.request.over
+        await asyncio.gather(manager.close_all(), peer.to_the_end())
+        assert message.request.over and peer.reader.got[2].status == 503
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("end", [False, True])
+def test_an_answer_half_out_goes_out_whole(end: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A writer is at work on it as the drain begins, or the front's end; the client reads on only then."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr(clients, "FLUSH", 20.0)  # however busy the machine is
+        manager, large = make_manager(), os.urandom(40_000) * 100
+        peer = Peer(manager)
+        peer.ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
+        peer.send(LATE)
+        await until(lambda: bool(taken(manager)), "it is asked")
+        message = manager.module.take()
+        assert isinstance(message, Came)
+        message.request.number = 1
+        give(manager, message.request, large)
+        await until(lambda: peer.at_front.writer is not None, "the socket is full")
+        between(manager, lambda: peer.send(call(4, params("4" * 16))))
+        if end:
+            await asyncio.gather(manager.close_all(), peer.to_the_end())
+        else:
+            manager.drain()
+            assert not peer.at_front.closed
+            await peer.to_the_end()
+        assert peer.reader.got[2].body == large and set(peer.reader.got) == {2}
+        assert not manager.connections and not taken(manager)
+
+    on_loop(scenario)
+
+
+def test_nothing_lingers_past_the_end() -> None:
+    """A client that never closes its side, and one that never reads: both sockets are let go of."""
+
+    async def scenario() -> None:
+        manager, large = make_manager(), os.urandom(40_000) * 6
+        rests, never = Peer(manager), Peer(manager)
+        await rests.asked()
+        never.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        never.ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        never.send(LATE)
+        await until(lambda: bool(taken(manager)), "it is asked")
+        message = manager.module.take()
+        assert isinstance(message, Came)
+        give(manager, message.request, large)
+        await until(lambda: never.at_front.writer is not None, "the socket is full")
+        async with asyncio.timeout(20):
+            await manager.close_all()
+        assert not manager.connections and not manager.lingering.open
+        await until(lambda: rests.ours.fileno() == never.ours.fileno() == -1, "both are let go of")
+        assert manager.descriptors.clients == manager.descriptors.lingering == 0
+
+    on_loop(scenario)
