--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -91,6 +91,7 @@
         if self.peers is not None:
             await self.peers.leave()
         await self._drain(listener)
+        listener.stop()
         await self.manager.close_all()
         if self.fleet is not None:
             self.fleet.end()
@@ -99,11 +100,10 @@
             await self.keeper.end()
         signals.on_reload(None)
         upkeep.cancel()
-        actors: list[Actor[Any]] = [listener, self.watch, *self.module.caches.values(), self.module]
+        actors: list[Actor[Any]] = [self.watch, *self.module.caches.values(), self.module]
         for actor in actors:
             actor.cancel()
         await asyncio.sleep(0)
-        sock.close()
         self._tell("stopped")
 
     def reload(self) -> None:
@@ -144,6 +144,7 @@
             await asyncio.sleep(TICK / 5)
             spent = (clock.now() - began) / clock.SECOND
             if spent >= DRAIN_LEAST:
+                listener.stop()
                 self.manager.refusing = spent >= most - DRAIN_REFUSES
                 self.manager.drain()
                 if self._quiet() or spent >= most:
--- a/quincepier/net/listener.py
+++ b/quincepier/net/listener.py
@@ -5,33 +5,64 @@
 import asyncio
 import socket
 
-from quincepier.net.actor import Actor
 from quincepier.net.clients import ConnectionManager
 from quincepier.net.sockets import no_delay
 
-ACCEPTS = 8  # new clients in a row
+ACCEPTS = 8  # new clients in a row: the others get their turn in a storm of them
+FAILED_PAUSE = 0.01  # seconds not accepted after a failure, which is mostly one of descriptors
 
 
-class Listener(Actor[None]):
-    """Accepts clients, a few in a row; who stays is told by the registry."""
+class Listener:
+    """Accepts clients, a few in a row; who stays is told by the registry.
 
-    name = "listener"
+    It runs in the loop's own turn, without a task: one that is cancelled could hold a client that is accepted
+    and not handed on yet.
+    """
 
     def __init__(self, manager: ConnectionManager, sock: socket.socket) -> None:
-        super().__init__(manager.checks, 1)
         self.manager, self.sock = manager, sock
+        self.again: asyncio.TimerHandle | None = None  # after a failure
+        self.stopped = False
 
-    async def run(self) -> None:
-        loop, taken = asyncio.get_running_loop(), 0
-        while True:
-            try:
-                sock, address = await loop.sock_accept(self.sock)
-                sock.setblocking(False)
-                no_delay(sock)
-            except OSError as error:
-                self.checks.event("accept failed", str(error))
-                await asyncio.sleep(0.01)
-                continue
-            self.manager.admit(sock, address[0])
-            if (taken := taken + 1) % ACCEPTS == 0:  # the others get their turn in a storm of new clients
-                await asyncio.sleep(0)
+    def start(self) -> None:
+        self.again = None
+        asyncio.get_running_loop().add_reader(self.sock.fileno(), self._ready)
+
+    def stop(self) -> None:
+        """Nobody comes any more. Whom the system has let in already is taken: the close would reset them."""
+        if self.stopped:
+            return
+        self.stopped = True
+        if self.again is not None:
+            self.again.cancel()
+        asyncio.get_running_loop().remove_reader(self.sock.fileno())
+        while self._accept():
+            pass
+        self.sock.close()
+
+    def _ready(self) -> None:
+        for _ in range(ACCEPTS):
+            if not self._accept():
+                break
+
+    def _accept(self) -> bool:
+        """Whether to go on: there was one, and no failure."""
+        try:
+            sock, address = self.sock.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except ConnectionAbortedError:  # it left before it was taken
+            return True
+        except OSError as error:
+            self.manager.checks.event("accept failed", str(error))
+            if not self.stopped:
+                loop = asyncio.get_running_loop()
+                loop.remove_reader(self.sock.fileno())
+                self.again = loop.call_later(FAILED_PAUSE, self.start)
+            return False
+        sock.setblocking(False)
+        no_delay(sock)
+        connection = self.manager.admit(sock, address[0])
+        if self.stopped and connection is not None:
+            connection.receive()  # what it asked before this is asked in time
+        return True
--- a/tests/test_crossings_drain.py
+++ b/tests/test_crossings_drain.py
@@ -4,18 +4,90 @@
 
 import asyncio
 import os
+import signal
 import socket
+from pathlib import Path
 
 import pytest
 
 from quincepier.net import clients
+from quincepier.net.clients import ConnectionManager
+from quincepier.net.listener import Listener
 from quincepier.net.messages import Came
-from tests.fcgikit import begin, call, params
-from tests.standins import until
+from quincepier.net.sockets import listen
+from tests.fcgikit import Reader, begin, call, params
+from tests.standins import Asked, Front, play, until
 from tests.test_crossings_client import LATE, Peer, between, give, taken
+from tests.test_front import fleet
 from tests.test_idle import PING, make_manager, on_loop
 
 
+class Comer:
+    """A client whom the system has let in; the front has not taken it yet."""
+
+    def __init__(self, address: tuple[str, int], first: bytes) -> None:
+        self.sock, self.reader = socket.create_connection(address), Reader()
+        self.sock.sendall(first)
+        self.sock.setblocking(False)
+
+    async def to_the_end(self) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(20):
+            while data := await loop.sock_recv(self.sock, 65_536):
+                self.reader.feed(data)
+        self.sock.close()
+
+
+def listening(manager: ConnectionManager) -> tuple[Listener, tuple[str, int]]:
+    sock = listen(("127.0.0.1", 0))
+    return Listener(manager, sock), sock.getsockname()
+
+
+def test_clients_let_in_by_the_system_as_the_listener_stops_are_taken() -> None:
+    """More of them than are taken in a row; what they asked before goes to the module, none is reset."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        listener, address = listening(manager)
+        listener.start()
+        await asyncio.sleep(0)
+        jobs = [f"{n:016x}" for n in range(1, 21)]
+        comers = [Comer(address, call(1, params(job))) for job in jobs]
+        listener.stop()  # in the same turn
+        assert sorted(taken(manager)) == jobs
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+        while (message := manager.module.take()) is not None:
+            assert isinstance(message, Came)
+            message.request.number = 1  # the module has it
+            give(manager, message.request, b"bytes")
+        await asyncio.gather(manager.close_all(), *(comer.to_the_end() for comer in comers))
+        assert [comer.reader.got[1].body for comer in comers] == [b"bytes"] * len(comers)
+
+    on_loop(scenario)
+
+
+def test_all_that_come_hold_no_small_write_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is set before anything else is done with them, so also for one that is closed at once."""
+
+    async def scenario() -> None:
+        manager, seen = make_manager(), list[int]()
+        listener, address = listening(manager)
+
+        def admit(sock: socket.socket, host: str = "") -> None:
+            seen.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            sock.close()
+
+        monkeypatch.setattr(manager, "admit", admit)
+        listener.start()
+        comers = [Comer(address, PING) for _ in range(3)]
+        await until(lambda: len(seen) == len(comers), "all have come")
+        assert all(seen)
+        listener.stop()
+
+    on_loop(scenario)
+
+
 @pytest.mark.parametrize("before", [b"", PING, begin(2)], ids=["new", "at rest", "half through"])
 def test_what_the_last_read_brings_is_refused_and_not_sent_on(before: bytes) -> None:
     """Of a client that has asked for nothing yet, of one at rest, and of one that is half through another."""
@@ -106,3 +178,28 @@
         assert manager.descriptors.clients == manager.descriptors.lingering == 0
 
     on_loop(scenario)
+
+
+def test_a_front_that_drains_stops_accepting_and_finishes_what_is_open(tmp_path: Path) -> None:
+    """Clients come on for a part of a second; later ones find nobody there, and go elsewhere at once."""
+    held: list[Asked] = []
+
+    async def scenario(front: Front) -> None:
+        first = await front.client()
+        first.ask(1)
+        await until(lambda: len(held) == 1, "it is out")
+        front.signal(signal.SIGTERM)
+        await until(lambda: front.logged("drain: 1 requests open"), "the front drains")
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    socket.create_connection(front.address).close()
+                except ConnectionRefusedError:
+                    break
+                await asyncio.sleep(0.01)
+        assert not front.ended and not first.closed
+        held[0].data(b"whole")
+        assert (await first.ended(1)).body == b"whole"
+        assert await front.code() == 0
+
+    play(tmp_path, fleet(held.append), scenario)
