A client that leaves is heard within 50 ms also while its connection is not read

EPOLLRDHUP was asked for and not looked at.

Change: while a request is open such a connection is read every 50 ms; of what comes after its end only aborts are used. A close that the system tells of ends it at once. OpenRequest.gone is set in the read that tells of the abort or close.

Ruled out: waiting in line, which takes as many turns of the loop as the crowd fills (a test shows it). Left: an abort behind a flood of what can't be used (docs/crossings.md).

--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -44,7 +44,7 @@
         self.timer = None
         if self.closed:
             return
-        if resume and not self.read_closed:
+        if resume:
             self.resume()
         why, again = self._overdue(now)
         if why is not None:
@@ -90,7 +90,7 @@
 
     def resume(self) -> None:
         """Read again, what came meanwhile too."""
-        if not (self.reading or self.closed or self.read_closed):
+        if not (self.reading or self.closed) and (self.asks or not self.read_closed):
             self.reading = True
             self.manager.read_on(self)
 
@@ -123,6 +123,7 @@
             for outgoing in session.sending:
                 outgoing.release()
             for request in session.open.values():
+                request.gone = True
                 self._forget(request)
                 manager.module.push(Left(request))
         if self.writer is not None:
--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -32,6 +32,7 @@
 ACTIVE_FOR = 5 * clock.SECOND  # since bytes last came or went, for a connection to count as at work
 # Seconds at the front's end: for answers on their way out, then for clients to close their side too.
 FLUSH, LAST = 0.1, 0.15
+GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
 
@@ -153,10 +154,10 @@
     def _rung(self) -> None:
         """A part of those that woke; the loop rings again where there are more."""
         if self.epoll is not None:
-            for fd, _ in self.epoll.poll(0, RUNG):
+            for fd, mask in self.epoll.poll(0, RUNG):
                 connection = self.by_fd.get(fd)
                 if connection is not None:
-                    connection.ready()
+                    connection.ready(gone=bool(mask & GONE))
 
     def may_read(self, connection: ClientConnection) -> bool:
         """Whether a connection that is ready is read in this turn; else it is read when its turn comes."""
--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 
 from quincepier import clock
@@ -15,6 +16,7 @@
 WHOLE_WITHIN = 2.0  # seconds that one message may take
 ROW = 4  # reads of one connection in a row
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
+LISTEN_WITHIN = 0.05  # seconds not read at most while a request is open: its client may leave or abort
 
 
 class Reading(Writing):
@@ -25,9 +27,17 @@
     def _look_in(self, seconds: float, resume: bool = False) -> None:
         raise NotImplementedError
 
-    def ready(self) -> None:
-        """There is something to read: now, or as its turn comes. What is paused looks as it resumes."""
+    def resume(self) -> None:
+        raise NotImplementedError
+
+    def ready(self, gone: bool = False) -> None:
+        """There is something to read: now, or as its turn comes. What is paused looks as it resumes.
+
+        `gone`: the client has closed; where that is not told, it is read.
+        """
         if not self.reading:
+            if gone and self.asks:
+                self.close()
             return
         if self.manager.may_read(self.itself):
             self.receive()
@@ -70,8 +80,11 @@
         if session is None:
             session = self.session = Session(manager.descriptors.clients_most)
             manager.in_session.add(self.itself)
+        read_closed = self.read_closed
         for item in session.decoder.feed(manager.scratch[:size]):
             match item:
+                case fastcgi.Call() | fastcgi.Reply() if read_closed:
+                    pass  # only aborts are listened to
                 case fastcgi.Call():
                     self._call(session, item, at)
                 case fastcgi.Aborted(stream):
@@ -88,10 +101,11 @@
                 return
         if self._half(session, manager.active_clock.read(now)):
             self._look_in(WHOLE_WITHIN)
-        if self.read_closed:
-            self._pause()
-        elif self.faults != faults:  # who goes on sending what can't be used gets little CPU
+        if self.read_closed or self.faults != faults:
             self._pause()
+        if not self.reading and self.asks:
+            asyncio.get_running_loop().call_later(LISTEN_WITHIN, self.resume)
+        elif self.faults != faults and not self.read_closed:  # who sends what can't be used gets little CPU
             self._look_in(min(FAULT_PAUSE * 2 ** min(self.faults, 10), FAULT_PAUSE_MOST), resume=True)
         self._settle()
 
@@ -134,6 +148,7 @@
             session.control = deque(item for item in session.control if item[0] != stream)
         request = session.open.pop(stream, None)
         if request is not None:
+            request.gone = True
             self._forget(request)
             self.manager.module.push(Left(request))
 
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -45,6 +45,11 @@
         self.queued_at = 0  # since when it stands in line to be read
         self.timer: Timer[tuple[ClientConnection, bool]] | None = None
 
+    @property
+    def asks(self) -> bool:
+        """Whether a request of this connection is open, which is to end as its client leaves."""
+        return self.session is not None and bool(self.session.open)
+
     @property
     def owed(self) -> bool:
         """Whether something that was asked here whole is still to be answered, or on its way out."""
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -10,6 +10,7 @@
 import os
 import select
 import socket
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -19,14 +20,15 @@
 from quincepier.memory.pool import Body
 from quincepier.net import lingering
 from quincepier.net.client import ClientConnection
-from quincepier.net.clients import ConnectionManager
-from quincepier.net.messages import Answer, Came
+from quincepier.net.clients import READS, ConnectionManager
+from quincepier.net.messages import Answer, Came, Left
 from quincepier.net.sockets import no_delay
-from tests.fcgikit import Reader, call, params
+from tests.fcgikit import ABORT, Reader, begin, call, params, rec
 from tests.standins import until
 from tests.test_idle import PING, make_manager, on_loop
 
 LATE = call(2, params("2" * 16))  # a whole request
+LINGER = struct.pack("ii", 1, 0)  # a close resets
 
 
 class Peer:
@@ -244,3 +246,126 @@
         assert peer.reader.got[2].body == b"bytes"
 
     on_loop(scenario)
+
+
+def aborts(peer: Peer) -> None:
+    peer.send(rec(ABORT, 1))
+
+
+def closes(peer: Peer) -> None:
+    peer.sock.close()
+
+
+def resets(peer: Peer) -> None:
+    peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    peer.sock.close()
+
+
+class OnlyReadable:
+    """An epoll that does not tell who has closed."""
+
+    def __init__(self, plain: select.epoll) -> None:
+        self.plain, self.unregister = plain, plain.unregister
+
+    def register(self, sock: socket.socket, mask: int) -> None:
+        self.plain.register(sock, mask & ~select.EPOLLRDHUP)
+
+    def poll(self, timeout: float, most: int) -> list[tuple[int, int]]:
+        return [(fd, select.EPOLLIN) for fd, _ in self.plain.poll(timeout, most)]
+
+
+FAULTY = call(3, params("3" * 16, "no-such-class"))
+TOO_LARGE = begin(3) + rec(4, 3, bytes(60_000))  # parameters without end: nothing more is read
+
+
+@pytest.mark.parametrize("leave", [aborts, closes, resets])
+@pytest.mark.parametrize("paused_by", [FAULTY, TOO_LARGE], ids=["a fault", "its end"])
+def test_whoever_leaves_while_its_connection_is_not_read_is_heard(
+    paused_by: bytes, leave: Callable[[Peer], None]
+) -> None:
+    """The pause alone would be up to a second, and after what ends a connection it would last for good.
+
+    The timers of the connections stand still here, so whatever hears it does not wait for them.
+    """
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        assert manager.epoll is not None
+        manager.unwatch(peer.at_front)
+        manager.epoll = OnlyReadable(manager.epoll)  # type: ignore[assignment]
+        peer.at_front.start()
+        peer.at_front.faults = 10
+        peer.send(call(1, params("1" * 16)) + paused_by)
+        await until(lambda: bool(taken(manager)), "it is asked")
+        message = manager.module.take()
+        assert isinstance(message, Came) and not peer.at_front.reading
+        leave(peer)
+        async with asyncio.timeout(5):
+            while not message.request.gone:
+                await asyncio.sleep(0.005)
+        assert [m.request for m in manager.module.queue if isinstance(m, Left)] == [message.request]
+
+    on_loop(scenario)
+
+
+def test_a_close_behind_what_is_not_read_yet_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The system tells of it, and the connection's pause does not have to end for that."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        peer.at_front.faults = 10
+        monkeypatch.setattr(ClientConnection, "resume", lambda self: None)
+        peer.send(call(1, params("1" * 16)) + FAULTY)
+        await until(lambda: bool(taken(manager)), "it is asked")
+        message = manager.module.take()
+        assert isinstance(message, Came) and not peer.at_front.reading
+        peer.sock.close()
+        async with asyncio.timeout(5):
+            while not message.request.gone:
+                await asyncio.sleep(0.005)
+        assert peer.at_front.closed
+
+    on_loop(scenario)
+
+
+def test_whoever_leaves_while_it_stands_in_line_to_be_read_is_heard_in_a_few_turns() -> None:
+    async def scenario() -> None:
+        manager = make_manager()
+        peer, crowd = Peer(manager), [Peer(manager) for _ in range(3 * READS)]
+        peer.send(call(1, params("1" * 16)))
+        await until(lambda: bool(taken(manager)), "it is asked")
+        message = manager.module.take()
+        assert isinstance(message, Came)
+        for other in crowd:
+            other.send(PING)
+        manager.active.left = 0  # the others had this turn
+        peer.sock.close()
+        turns = 0
+        while not message.request.gone:
+            await asyncio.sleep(0)
+            turns += 1
+        assert turns <= 3 * len(crowd) // READS and manager.active.longest > READS
+
+    on_loop(scenario)
+
+
+def test_a_client_that_leaves_takes_what_is_open_with_it_at_once() -> None:
+    """Between the read that tells of it and the module's turn the request itself says so."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        peer.send(call(1, params("1" * 16)) + LATE)
+        await until(lambda: len(taken(manager)) == 2, "both are asked")
+        first, second = (m.request for m in manager.module.last if isinstance(m, Came))
+        assert not first.gone and not second.gone
+        peer.send(rec(ABORT, 1))
+        peer.at_front.receive()
+        assert first.gone and not second.gone
+        peer.sock.close()
+        await until(lambda: peer.at_front.closed, "it is heard")
+        assert second.gone
+
+    on_loop(scenario)
