Nothing begins for a client that is gone, an answered request, or past a repeat's window

Seen: an attempt decided while its client was there goes out after the client left wherever it waits: in the module's mailbox, behind a dial (up to the connect limit), as a further attempt whose reset is heard before the client's Left. An attempt in a dial goes out after its request was answered where the cancel stands behind it. A keyed request's second attempt, decided within its window for repeats, goes out when its dial lets it, also past it. Checked on real sockets with dials let through by the test, a clock driven by it and the crossing put between the lines. Ruled out: an attempt called off in its dial, in every order of up, refused, reset, closed and cancel. Lines at fault: Connection._write and CacheActor._send looked at `recalled` alone; module's _came and _ended did not look at the request's client; `harmless` is asked when the attempt is decided and by nobody later. Change: OpenAttempt.barred, looked at right before the first byte: client gone, request over, recalled, window past. The policy's action carries what is left of the window (`within`), as it alone knows when one first may have run. An ending heard before the client's Left counts as that Left, so no further attempt is decided.

--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -303,6 +303,7 @@
     request: int
     cache: int
     timeout: int
+    within: int = 0  # how long it is a harmless repeat: its first byte goes out by then or never; 0: always
 
 
 @dataclass(slots=True)
@@ -318,6 +319,7 @@
     join: bool
     renew: bool
     held_only: bool
+    within: int = 0  # as for Ask
 
 
 @dataclass(slots=True)
--- a/quincepier/memory/requests.py
+++ b/quincepier/memory/requests.py
@@ -49,6 +49,12 @@
     source: int = -1
     ended: bool = False
     recalled: bool = False  # at a purge, or as its cache or source leaves: its first byte is not to go out
+    latest: int = 0  # from this moment on its first byte would be a repeat that may do harm; 0: never
+
+    def barred(self, now: int) -> bool:
+        """Whether its first byte is not to go out any more, wherever it waits."""
+        unasked = self.request.gone or self.request.over
+        return unasked or self.recalled or 0 < self.latest <= now
 
 
 class Requests:
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -67,7 +67,7 @@
             self.ended(message.attempt, Ending.RESET, clock.now())
 
     def _send(self, id: str, what: OpenAttempt | Probe, command: bytes, timeout: int) -> None:
-        if isinstance(what, OpenAttempt) and what.recalled:  # as it waited in the mailbox
+        if isinstance(what, OpenAttempt) and what.barred(clock.now()):  # as it waited in the mailbox
             self.ended(what, Ending.MOOT, clock.now())
             return
         connection = self._connection(id)
@@ -91,7 +91,7 @@
     ) -> None:
         """Its connection ended, one of several addresses: on over another, or told as it is."""
         assert self.way is not None
-        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.recalled)
+        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.barred(clock.now()))
         most = len(self.way.book.entries) if command is not None else 0
         ending = self.way.fate(begun, absent, recalled, self.moves.get(what, 0), most)
         connection = self._connection(id) if ending is None else None
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -183,7 +183,9 @@
                 await self.wake
             what, command = self.outgoing.popleft()
             stale = self.shared.stale
-            if isinstance(what, OpenAttempt) and (what.recalled or (stale is not None and stale())):
+            if isinstance(what, OpenAttempt) and (
+                what.barred(clock.now()) or (stale is not None and stale())
+            ):
                 # looked at right before its first byte: a front that stood still may have lost its lease
                 self.open.pop(what.request.job, None)
                 self.actor.ended(what, Ending.MOOT, clock.now())
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -107,9 +107,8 @@
             case Left(request):
                 if request.number < 0:  # its turn has not come yet
                     request.over = True
-                elif not request.over:
-                    self.requests.finish(request)
-                    self._tell(io.ClientLeft(request.number))
+                else:
+                    self._leave(request)
             case Ended():
                 self._ended(message)
             case Checked(cache, ending, elapsed, report):
@@ -165,7 +164,7 @@
             self._tell(self.later.popleft())
 
     def _came(self, request: OpenRequest) -> None:
-        if request.over:  # the client left as it waited
+        if request.over or request.gone:  # the client left as it waited
             return
         if self.requests.full:
             self.checks.event("request refused: too many open")
@@ -183,9 +182,17 @@
             self.settled.came(event, request)
         self._tell(event, request)
 
+    def _leave(self, request: OpenRequest) -> None:
+        """Its client is gone: nothing begins for it any more."""
+        if not request.over:
+            self.requests.finish(request)
+            self._tell(io.ClientLeft(request.number))
+
     def _ended(self, end: Ended) -> None:
         attempt = end.attempt
         request = attempt.request
+        if request.gone:  # heard before its Left, which may stand behind much else
+            self._leave(request)
         event = attempt_ended(attempt, end)
         if self.settled is not None:
             self.settled.ended(attempt, end.note)
@@ -318,6 +325,7 @@
         assert request is not None
         source = action.source if isinstance(action, io.Fetch) else -1
         attempt = self.requests.attempt(request, action.cache, now, source)
+        attempt.latest = now + action.within if action.within else 0
         left = max(request.allow - (now - request.came), 0)
         timeout = min(action.timeout, left) if action.timeout else left
         cache = self.caches.get(action.cache)
--- a/quincepier/policy/attempts.py
+++ b/quincepier/policy/attempts.py
@@ -10,16 +10,15 @@
 
 class Attempts(Placement):
     def send(self, req: Request, node: Node, source: Node | None, anew: bool = False) -> None:
-        e, now = req.e, self.now
+        e, cls, now = req.e, req.cls, self.now
         if req.sent >= self.s.attempts or not self.harmless(req, node) or req.deadline - now <= self.s.step:
             self.give_up(req)
             return
         attempt = Attempt(req, req.sent, now, node, source if source is not node else None)
         attempt.look = look = source is node and node in self.edges  # a cache as its own source fills nothing
-        attempt.fill = not (look or req.cls.never_kept or self.known(node, req))
+        attempt.fill = not (look or cls.never_kept or self.known(node, req))
         req.open[req.sent] = self.attempts[e.request, req.sent] = attempt
-        req.sent += 1
-        self.fills, attempt.work = self.fills + attempt.fill, self.work[e.cls]
+        req.sent, self.fills, attempt.work = req.sent + 1, self.fills + attempt.fill, self.work[e.cls]
         # while fills rest the parents give what they hold; what they lack is asked for once a rest
         attempt.held = only = attempt.fill and source is not None and self.rest > 0 and not anew
         node.recent.append(e.object)
@@ -28,12 +27,13 @@
             one.out[e.request, attempt.no] = attempt
             if one.suspect:
                 self.tried(one)
+        span = req.first_ran[0] + cls.window - now if req.first_ran and cls.effect is io.Effect.KEYED else 0
         if source is None:
-            self.out.append(io.Ask(e.request, node.machine.cache, req.deadline - now))
+            self.out.append(io.Ask(e.request, node.machine.cache, req.deadline - now, span))
         else:
             wait, by, age = req.deadline - now, source.machine.cache, self.oldest(req, look)
-            join, renew = self.s.joins and not look, req.cls.fresh > 0 and not look
-            self.out.append(io.Fetch(e.request, node.machine.cache, wait, by, 1, age, join, renew, only))
+            join, renew = self.s.joins and not look, cls.fresh > 0 and not look
+            self.out += [io.Fetch(e.request, node.machine.cache, wait, by, 1, age, join, renew, only, span)]
         if self.witness is not None:
             self.witness(e, node, attempt.source)
         self.wake()
