No attempt begins inside a command or an answer, or on a connection whose end was read

Seen, each by a test on real sockets: (1) an attempt that waited for a socket that took no byte counted as begun, so it was not withdrawn when its client left, and its `serve` went out later; (2) a command of which a part went out as its connection was reset ended as `moot`, so that a write that may not be repeated was sent again; (3) a connection whose machine reads no more, with cancels alone to be written, was never closed; (4) an idle connection whose end had been read, not yet told to the others in that turn, took a write, which then failed as reset; (5) a connection on which an answer that nobody waits for went on without end counted as idle: the next attempt was put behind it, each time anew, and the answer's buffers stayed taken. Change: the first bytes go by sock.send and what was taken decides; a command stays at the head of the queue until it is out whole; `idle` needs no answer under way; an answer that nobody waits for may go on for the connect limit; the reader's end stops the writer. send_proved and Unsent are not needed any more and go.

--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -186,8 +186,8 @@
         idle = max(self.shared.config.idle - clock.SECOND, self.shared.config.idle // 2)
         for connection in list(self.connections):
             done = now - connection.used > idle or self.leaving or connection.doubtful
-            if (done and connection.idle) or (not late and connection.stalled(now)):
-                if not connection.between:
+            if (done and connection.unused) or (not late and connection.stalled(now)):
+                if not connection.between and now - connection.heard > self.shared.config.dial_timeout:
                     connection.against("half an answer, then nothing")
                     self.checks.event("half an answer of a cache, then nothing", self.host)
                 connection.close()
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -11,7 +11,7 @@
 from quincepier.interface import Ending
 from quincepier.memory.pool import Body
 from quincepier.memory.requests import OpenAttempt
-from quincepier.net.sockets import NO_BUFFER_PAUSE, Unreached, Unsent, connect, send_proved
+from quincepier.net.sockets import NO_BUFFER_PAUSE, Unreached, connect
 from quincepier.wire import lines
 from quincepier.wire.errors import ProtocolError
 
@@ -24,6 +24,14 @@
 PROBE_WORDS = {"well": Ending.OK, "ill": Ending.ERROR}
 
 
+def _ring(waiter: asyncio.Future[None] | None) -> bool:
+    """Wake who waits; whether anyone did."""
+    if waiter is None or waiter.done():
+        return False
+    waiter.set_result(None)
+    return True
+
+
 class Probe:
     def __init__(self, tag: str, at: int) -> None:
         self.tag, self.at = tag, at
@@ -38,7 +46,7 @@
         self.open: dict[str, OpenAttempt | Probe] = {}
         self.ghosts: OrderedDict[str, None] = OrderedDict()
         self.outgoing: deque[tuple[OpenAttempt | Probe | None, bytes]] = deque()
-        self.started: set[OpenAttempt | Probe] = set()  # those whose command may have been written whole
+        self.started: set[OpenAttempt | Probe] = set()  # those of whose command a byte may have been read
         self.wake: asyncio.Future[None] | None = None
         self.lost = self.doubtful = self.absent = self.begun = False
         self.heard = 0
@@ -46,6 +54,7 @@
         self.up_at, self.proved = 0, False  # when, and whether an answer has come over it
         self.used: int = clock.now()
         self.between = True  # no answer is half read
+        self.since = 0  # when the answer that is being read began; 0: there is none
         self.surplus = False  # the one being read is passed over
         self.body: Body | None = None
         self.head: lines.Head | None = None
@@ -60,8 +69,7 @@
     def write(self, what: OpenAttempt | Probe | None, command: bytes) -> None:
         self.outgoing.append((what, command))
         self.used = clock.now()
-        if self.wake is not None and not self.wake.done():
-            self.wake.set_result(None)
+        _ring(self.wake)
 
     def give_up(self, id: str, attempt: OpenAttempt) -> None:
         """The attempt is over on our side: it is not sent if it has not been, else called off."""
@@ -91,9 +99,15 @@
         if self.address is not None and self.actor.way is not None and sign:
             self.actor.way.broke(self.address, self.up_at, why)
 
+    @property
+    def unused(self) -> bool:
+        """Nobody waits for anything on it: what is still to go out calls off what a close gives up too."""
+        return self.sock is not None and not self.open and not self.lost
+
     @property
     def idle(self) -> bool:
-        return self.sock is not None and not self.open and not self.outgoing and not self.lost
+        """The next answer on it would be that of the next command."""
+        return self.unused and not self.outgoing and not self.since
 
     def close(self) -> None:
         self.lost = True
@@ -101,8 +115,13 @@
             self.task.cancel()
 
     def stalled(self, now: int) -> bool:
-        """An answer was begun and has not gone on for as long as a connection may take to come up."""
-        return not self.between and now - self.heard > self.shared.config.dial_timeout
+        """The answer that was begun stands still, or goes on though nobody waits for it.
+
+        Either for as long as a connection may take to come up.
+        """
+        most = self.shared.config.dial_timeout
+        endless = self.unused and 0 < self.since < now - most
+        return endless or (not self.between and now - self.heard > most)
 
     async def run(self) -> None:
         config, work = self.shared.config, list[asyncio.Task[None]]()
@@ -148,7 +167,7 @@
             self._drop()
 
     def _drop(self) -> None:
-        """The connection is gone: what was not written whole never ran, of the rest nothing is known.
+        """The connection is gone: what no byte was taken of never ran, of the rest nothing is known.
 
         Only a refusal, or none come up in time, says that the machine is not there. One reset as it was new
         is no such sign, nor is one that had been up: the next connection will tell.
@@ -176,37 +195,46 @@
         self.outgoing.clear()
 
     async def _write(self, sock: socket.socket) -> None:
+        """What is to go out, in its order.
+
+        A command leaves the queue once it is out whole, so no connection in the middle of one is idle; as
+        long as no byte of it was taken it can be given up.
+        """
         loop = asyncio.get_running_loop()
-        while True:
-            while not self.outgoing:
+        while not self.lost:
+            if not self.outgoing:
                 self.wake = loop.create_future()
                 await self.wake
-            what, command = self.outgoing.popleft()
+                continue
+            what, command = self.outgoing[0]
             stale = self.shared.stale
             if isinstance(what, OpenAttempt) and (
                 what.barred(clock.now()) or (stale is not None and stale())
             ):
                 # looked at right before its first byte: a front that stood still may have lost its lease
+                self.outgoing.popleft()
                 self.open.pop(what.request.job, None)
                 self.actor.ended(what, Ending.MOOT, clock.now())
                 continue
+            try:
+                taken = sock.send(command)  # as sock_sendall begins; it would not tell whether any was taken
+            except (BlockingIOError, InterruptedError):
+                await self._writable(loop, sock)
+                continue  # it may be given up by now
             if what is not None:
                 self.started.add(what)
-            try:
-                if self.address is None:
-                    await loop.sock_sendall(sock, command)
-                else:
-                    await send_proved(sock, command)
-            except Unsent:
-                if what is not None:
-                    self.started.discard(what)
-                    self.outgoing.appendleft((what, command))
-                raise
-            except OSError:  # its last bytes were not taken
-                # what went out in part over one of several addresses counts as read
-                if what is not None and self.address is None:
-                    self.started.discard(what)
-                raise
+            if taken < len(command):
+                await loop.sock_sendall(sock, memoryview(command)[taken:])
+            self.outgoing.popleft()
+
+    async def _writable(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        """Until the socket takes bytes again."""
+        ready: asyncio.Future[None] = loop.create_future()
+        loop.add_writer(sock, _ring, ready)
+        try:
+            await ready
+        finally:
+            loop.remove_writer(sock)
 
     async def _read(self, sock: socket.socket) -> None:
         """Answers as they come. A buffer is held while bytes are taken in and not while they are waited for:
@@ -236,6 +264,7 @@
                 elif row % READS == 0:  # others get their turn
                     await asyncio.sleep(0)
         finally:
+            self.lost = True  # nothing more begins on it, also before the others of this turn have heard
             if self.reading:
                 loop.remove_reader(sock)
         if not decoder.between:
@@ -250,9 +279,7 @@
         await self.ready
 
     def _rung(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
-        if self.ready is not None and not self.ready.done():
-            self.ready.set_result(None)
-        else:  # nobody waits for it now; it would ring in each turn
+        if not _ring(self.ready):  # nobody waits for it now; it would ring in each turn
             self.reading = False
             loop.remove_reader(sock)
 
@@ -268,10 +295,12 @@
                 case lines.Whole():
                     self._whole(at)
         self.between = decoder.between
+        if not self.between:
+            self.since = self.since or at
 
     async def _began(self, head: lines.Head) -> None:
         what = self.open.get(head.id)
-        self.head = head
+        self.head, self.since = head, self.since or self.heard
         if what is None or what not in self.started:  # a second copy, a late one, or of an id never asked
             self.surplus = True
             return
@@ -284,7 +313,7 @@
             self.body = await self.shared.room(head.length)
 
     def _whole(self, at: int) -> None:
-        head, body, self.head, self.body = self.head, self.body, None, None
+        head, body, self.head, self.body, self.since = self.head, self.body, None, None, 0
         assert head is not None
         if self.address is not None and not self.proved and self.actor.way is not None:
             self.proved = True
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -73,22 +73,3 @@
     def __init__(self, absent: bool, why: str) -> None:
         super().__init__(why)
         self.absent = absent
-
-
-class Unsent(OSError):
-    """Not one byte of what was to be sent was taken: the peer cannot have read any of it."""
-
-
-async def send_proved(sock: socket.socket, data: bytes) -> None:
-    """As sock_sendall, which does not tell how much was taken when it fails; raises Unsent where nothing was.
-
-    The first bytes go by the same call that sock_sendall makes first itself.
-    """
-    try:
-        taken = sock.send(data)
-    except BlockingIOError:
-        taken = 0
-    except OSError as error:
-        raise Unsent(error.errno, error.strerror) from None
-    if taken < len(data):
-        await asyncio.get_running_loop().sock_sendall(sock, memoryview(data)[taken:])
--- a/tests/test_crossings_answers.py
+++ b/tests/test_crossings_answers.py
@@ -178,6 +178,47 @@
 # Never whole
 
 
+@pytest.mark.parametrize("whose", ["given up", "of a second copy", "half a line of nobody"])
+def test_an_answer_that_never_ends_holds_no_other_up_and_ends_with_its_connection(
+    monkeypatch: pytest.MonkeyPatch, whose: str
+) -> None:
+    async def scenario() -> None:
+        front_clock, inside = Clock(monkeypatch), Inside(ONE)
+        request = inside.ask(BID)
+        wire = await inside.out(request)
+        (connection,) = inside.connections()
+        endless = answer(request.job, b"z" * 100_000)[:300]
+        if whose == "given up":
+            wire.say(endless)
+            await until(lambda: connection.body is not None, "it has begun")
+            inside.left(request)
+            await until(lambda: bool(inside.endings(request)), "given up")
+        else:
+            wire.answer(request.job)
+            assert await inside.status(request) == 200
+            wire.say(endless if whose == "of a second copy" else endless[:20])
+            await until(lambda: not connection.between, "it has begun")
+        behind = inside.ask(BID)
+        other = await inside.out(behind)
+        assert other is not wire
+        other.answer(behind.job)
+        assert await inside.status(behind) == 200
+        inside.sweep()
+        assert not connection.lost  # it may still become whole
+        for _ in range(3):  # it goes on, a byte at a time
+            front_clock.on(inside.config.dial_timeout // 2)
+            heard = connection.heard
+            wire.say(b"z")
+            await until(lambda heard=heard: connection.heard > heard, "it is read")  # type: ignore[misc]
+        inside.sweep()
+        await until(lambda: inside.connections() == [c for c in inside.connections() if c.idle], "it ends")
+        assert len(inside.connections()) == 1 and inside.pool.used == 0
+        assert await inside.served(BID) is other
+        await inside.settled()
+
+    on_loop(scenario)
+
+
 @pytest.mark.parametrize(("classes", "again"), [({}, True), (UNSAFE, False)], ids=["safe", "unsafe"])
 def test_a_machine_that_hangs_inside_its_answer_ends_the_attempt_by_effect(
     monkeypatch: pytest.MonkeyPatch, classes: dict[int, dict[str, object]], again: bool
