--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -28,7 +28,6 @@
     Check,
     Checked,
     Ended,
-    Leave,
     Left,
     News,
     Recall,
@@ -275,7 +274,7 @@
             self.caches[number].move(record.address, record.dials, anew)
         for number, cache in self.caches.items():
             if number not in listed:
-                cache.mailbox.offer(Leave())
+                cache.leaving = True
 
     def _askers(self, site: str) -> int:
         settings = self.config.settings
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -385,6 +385,91 @@
 # The list
 
 
+def test_a_machine_gone_and_back_in_one_turn_can_be_asked() -> None:
+    async def scenario() -> None:
+        inside = Inside(("o-1",))
+        await inside.served(BID)
+        inside.listed(inside.host("o-1", health="DELETED"))
+        inside.listed(inside.host("o-1"))
+        cache = inside.cache("o-1")
+        await until(lambda: not len(cache.mailbox), "it has heard of both")
+        for connection in inside.connections():
+            connection.close()
+        await until(lambda: not inside.connections(), "nothing is left of it")
+        inside.sweep()
+        assert inside.cache("o-1") is cache and not cache.leaving
+        await inside.served(BID)
+        await inside.settled()
+
+    on_loop(scenario)
+
+
+def test_a_machine_off_the_list_ends_though_its_mailbox_was_full() -> None:
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        request = inside.ask(BID)
+        wire = await inside.out(request)
+        cache = inside.cache("o-1")
+        for _ in range(cache.mailbox.most):
+            cache.mailbox.push(Recall(request.attempts[0]))
+        inside.listed(inside.host("o-1", health="DELETED"))
+        wire.answer(request.job)  # what is out is heard to its end
+        assert await inside.status(request) == 200
+        inside.sweep()
+        await until(lambda: not inside.connections(), "its connections end")
+        inside.sweep()
+        assert len(inside.module.caches) == 1
+        await inside.settled()
+
+    on_loop(scenario)
+
+
+def test_what_waits_in_a_dial_to_where_a_machine_was_goes_to_where_it_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        dials, inside = Dials(monkeypatch), Inside(("o-1", "o-2"))
+        inside.listed(inside.host("o-2", health="DELETED"))
+        request = inside.ask(BID)
+        await dials.begun()
+        inside.listed(inside.host("o-1", dial=inside.machines["o-2"].address))
+        dials.let()
+        wire = await inside.out(request)
+        assert wire in inside.machines["o-2"].wires
+        wire.answer(request.job)
+        assert await inside.status(request) == 200 and inside.endings(request)[0] is Ending.MOOT
+        await inside.settled()
+
+    on_loop(scenario)
+
+
+def test_a_new_machine_at_an_old_address_gets_nothing_of_the_old_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        inside = Inside(("o-1",))
+        old = await inside.served(BID)
+        begun = inside.ask(BID)
+        assert await inside.out(begun) is old
+        dials = Dials(monkeypatch)
+        waiting = inside.ask(BID)
+        await dials.begun()
+        address = inside.machines["o-1"].address
+        inside.listed(inside.host("o-1", health="DELETED"), inside.host("o-1", host="o-9", dial=address))
+        dials.let()
+        wire = await inside.out(waiting)  # for the new one, over a connection of its own
+        assert wire is not old and inside.endings(waiting) == [Ending.MOOT]
+        wire.answer(waiting.job)
+        old.answer(begun.job)
+        assert (await inside.status(waiting), await inside.status(begun)) == (200, 200)
+        assert inside.cache("o-9").connections and len(inside.cache("o-9").connections) == 1
+        inside.sweep()
+        await until(
+            lambda: not inside.cache("o-1").connections, "the old one's end, also the one let through"
+        )
+        await inside.settled()
+
+    on_loop(scenario)
+
+
 def test_an_attempt_that_ended_ends_no_second_time() -> None:
     """Its time is up, its cancel comes, its connection breaks and its answer is there, all in one turn."""
 
