--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -15,7 +15,7 @@
 from quincepier.memory.requests import OpenAttempt
 from quincepier.net.actor import Actor
 from quincepier.net.connection import PROBE_WORDS, Connection, Probe
-from quincepier.net.messages import CallOff, Check, Checked, Ended, Leave, Recall, Send, ToCache
+from quincepier.net.messages import CallOff, Check, Checked, Ended, Recall, Send, ToCache
 from quincepier.net.shared import Shared
 from quincepier.recovery import Ramp
 from quincepier.translate import ENDINGS, note_of, report_of, waited_of
@@ -58,8 +58,6 @@
                 tag = f"probe{self.probes}"
                 command = lines.gauges(tag) if gauges else lines.health(tag)
                 self._send(tag, Probe(tag, clock.now()), command, self.shared.config.dial_timeout)
-            case Leave():
-                self.leaving = True
 
     def spoiled(self, message: ToCache) -> None:
         """An attempt that could not be handled may have run or not."""
@@ -67,7 +65,7 @@
             self.ended(message.attempt, Ending.RESET, clock.now())
 
     def _send(self, id: str, what: OpenAttempt | Probe, command: bytes, timeout: int) -> None:
-        if isinstance(what, OpenAttempt) and what.recalled:  # as it waited in the mailbox
+        if isinstance(what, OpenAttempt) and what.barred(clock.now()):  # as it waited in the mailbox
             self.ended(what, Ending.MOOT, clock.now())
             return
         connection = self._connection(id)
@@ -91,7 +89,7 @@
     ) -> None:
         """Its connection ended, one of several addresses: on over another, or told as it is."""
         assert self.way is not None
-        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.recalled)
+        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.barred(clock.now()))
         most = len(self.way.book.entries) if command is not None else 0
         ending = self.way.fate(begun, absent, recalled, self.moves.get(what, 0), most)
         connection = self._connection(id) if ending is None else None
@@ -186,8 +184,8 @@
         idle = max(self.shared.config.idle - clock.SECOND, self.shared.config.idle // 2)
         for connection in list(self.connections):
             done = now - connection.used > idle or self.leaving or connection.doubtful
-            if (done and connection.idle) or (not late and connection.stalled(now)):
-                if not connection.between:
+            if (done and connection.unused) or (not late and connection.stalled(now)):
+                if not connection.between and now - connection.heard > self.shared.config.dial_timeout:
                     connection.against("half an answer, then nothing")
                     self.checks.event("half an answer of a cache, then nothing", self.host)
                 connection.close()
@@ -203,3 +201,5 @@
             self.address = address
             for connection in self.connections:
                 connection.doubtful = True
+                if connection.sock is None:  # what waits for it is for the machine, not for who is there now
+                    connection.close()
