Signals: a front that is told to end before it serves ends with 0; a reload runs in its own turn

Seen: SIGTERM and SIGINT had no handler before Front.serve, so a front told to end during its imports, its configuration or before the loop ran died by the signal (-15) or with a KeyboardInterrupt traceback; one told so between the listener's making and its service drained for 0.75 s though nothing was taken. SIGHUP read the configuration inside the interpreter's signal handler, between any two lines: a second one in the middle of a reload applied the newer file first and the older over it, so the change log of the older file was asked for good.

Ruled out, held before: a second signal during the drain and in the runner's close; SIGHUP while up_to_date waits. At fault: Front.serve (add_signal_handler, on_reload) and signals._noted, which called the reload itself.

Change: one handler of the process for the three signals, from the first line of __main__ that can set it. Before the front stands SIGTERM and SIGINT are an end with 0 at once; then what came is noted and done in a turn of the loop; after the drain all three are ignored, also where serve ends with an error. No handler is the loop's any more.

The interpreter's first moments, before quincepier.lifecycle.signals is imported, are as they are: there SIGTERM, SIGINT and SIGHUP have the interpreter's own effect. Commands other than serve keep the usual effect of SIGTERM and SIGINT.

--- a/quincepier/__main__.py
+++ b/quincepier/__main__.py
@@ -60,7 +60,7 @@
 from quincepier.lifecycle import signals
 
 if __name__ == "__main__":
-    signals.catch()
+    signals.catch(sys.argv[1:2] == ["serve"])
 
 from docopt import DocoptExit, docopt
 
@@ -79,12 +79,12 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    signals.catch()
     try:
         chosen = docopt(__doc__ or "", argv)
     except DocoptExit as error:
         print(error, file=sys.stderr)
         return 2
+    signals.catch(bool(chosen["serve"]))
     if chosen["version"]:
         print(f"quincepier {__version__}")
         return 0
@@ -105,7 +105,8 @@
             operators = Operators(place)
         config = load_front(path=chosen["--config"], judge=operators.judge if operators else None)
     except SettingsError as error:
-        print(f"quincepier: {error}", file=sys.stderr)
+        signals.ignore()  # it ends with the code that tells why
+        print(f"quincepier: {error}; {error.do}", file=sys.stderr)
         return 2
     if chosen["check-config"]:
         print(summary(config) + (f"\n{operators.summary}" if operators else ""))
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -67,9 +67,7 @@
         loop = asyncio.get_running_loop()
         sock = listen(self.config.listen)
         listener = Listener(self.manager, sock)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.term.set)
-        signals.on_reload(self.reload)
+        signals.tell(lambda: loop.call_soon_threadsafe(self._signalled))
         self.module.begin()
         if self.keeper is not None:
             await self.keeper.recall()
@@ -79,25 +77,26 @@
         await self.watch.up_to_date()
         if self.fleet is not None:
             await self.fleet.start()
-        listener.start()
-        host, port = self.config.listen
-        told = logger.bind(event="front serves", front=self.config.name, address=f"{host}:{port}")
-        told.info("front {} serves on {}:{}", self.config.name, host, port)
         upkeep = loop.create_task(self._upkeep())
         keeping = loop.create_task(self.keeper.run()) if self.keeper is not None else None
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(GC_AFTER, 10, 10)
-        await self.term.wait()
+        serves = not self.term.is_set()  # else it ends before anyone was told that it serves
+        if serves:
+            listener.start()
+            self._tell_serves()
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(GC_AFTER, 10, 10)
+            await self.term.wait()
         if self.peers is not None:
             await self.peers.leave()
-        await self._drain(listener)
+        if serves:
+            await self._drain(listener)
+        signals.ignore()
         if self.fleet is not None:
             self.fleet.end()
         if self.keeper is not None and keeping is not None:
             keeping.cancel()
             await self.keeper.end()
-        signals.on_reload(None)
         upkeep.cancel()
         actors: list[Actor[Any]] = [listener, self.watch]
         for actor in (*actors, *self.module.caches.values()):
@@ -108,6 +107,14 @@
         sock.close()
         self._tell("stopped")
 
+    def _signalled(self) -> None:
+        """In a turn of the loop: what came is done, several of one kind once."""
+        came = signals.take()
+        if came.intersection(signals.ENDING):
+            self.term.set()
+        if signal.SIGHUP in came:
+            self.reload()
+
     def reload(self) -> None:
         """SIGHUP: read both files again. Where one can't be used that is logged, and both old ones stay."""
         means, file = self.module.means, None
@@ -182,6 +189,11 @@
             if ticks % TELL_EVERY == 0 and (moved := self.checks.changed()):
                 logger.bind(event="counters", detail=moved).info("counters: {}", moved)
 
+    def _tell_serves(self) -> None:
+        host, port = self.config.listen
+        told = logger.bind(event="front serves", front=self.config.name, address=f"{host}:{port}")
+        told.info("front {} serves on {}:{}", self.config.name, host, port)
+
     def _tell(self, why: str) -> None:
         used = resource.getrusage(resource.RUSAGE_SELF)
         told = logger.bind(
@@ -228,4 +240,7 @@
         return 0
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(main())
+        try:
+            return runner.run(main())
+        finally:
+            signals.ignore()  # where it did not come to serve either
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -118,6 +118,7 @@
         await until(lambda: bool(caught()), "the handler stands")
         front.signal(signal.SIGHUP)
         await until(lambda: front.logged("configuration read again"), "what came early is done later")
+        await until(lambda: front.logged("serves"), "it serves: an earlier SIGTERM ends it without a drain")
         front.signal(signal.SIGTERM)
         await until(lambda: front.logged("drain"), "it drains")
         while not front.ended:
