KNOWN-RED.txt: tests known to fail are listed, and nothing else may fail

Seen: a test that fails for a real fault had no place; the only ways round it were an xfail mark, which tells nothing at the end of a run and passes over by default when the test passes, or leaving the test out.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 
 from quincepier.lifecycle import front
 
+pytest_plugins = ["tests.known_red"]  # which tests alone may fail
+
 OWN_MEMORY = 20 << 20  # bytes, as of a front that has just started
 
 settings.register_profile("no clock", deadline=None)
