--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -60,7 +60,7 @@
         self.head: lines.Head | None = None
         self.task: asyncio.Task[None] | None = None
         self.ready: asyncio.Future[None] | None = None  # set when there is something to read
-        self.reading = False
+        self.reading: bool = False
 
     def send(self, id: str, what: OpenAttempt | Probe, command: bytes) -> None:
         self.open[id] = what
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,6 +15,7 @@
 from quincepier.net import client
 from quincepier.net.clients import ConnectionManager
 from quincepier.net.listener import Listener
+from quincepier.net.reading import Reading
 from quincepier.net.session import Outgoing, Session
 from quincepier.wire import changelog, fastcgi, lines
 
@@ -85,13 +86,13 @@
 
 
 def restart_takes_on() -> None:
-    plain = client.ClientConnection._call
+    plain = Reading._call
 
-    def call(self: client.ClientConnection, session: Session, call: fastcgi.Call, at: int) -> None:
+    def call(self: Reading, session: Session, call: fastcgi.Call, at: int) -> None:
         self.manager.refusing = False
         plain(self, session, call, at)
 
-    client.ClientConnection._call = call  # type: ignore[method-assign]
+    Reading._call = call  # type: ignore[method-assign]
 
 
 FAULTS: dict[str, Callable[[], None]] = {
