Settings: what no float holds, deep nesting, doubled names are refused in one line with the file

Seen, by a property test that puts junk in any place of a good configuration: a start ended with a traceback and exit code 1 on NaN or an infinity in a list of numbers (ValueError, OverflowError), on an integer too long for a float as a limit, a share or a birth in the list of caches (OverflowError), on settings nested 300 deep (RecursionError), and check-config on a name that can't be printed (UnicodeEncodeError). At SIGHUP the same came out of the signal handler. A refusal did not name the file nor say what to do, and a value with a line feed made it two lines. Two classes of one name, a class whose name breaks a cache's line, and no classes at all were taken.

At fault: _Conf.numbers, _Keys.number and lay_out of config.py; wire.changelog._take, whose OverflowError for a live event was tried again by the watch for ever, as only a ProtocolError lets it pass a record over.

Change: numbers are of 2**64 at most in size (a u64 that says 'never' is taken), nesting 32 deep, texts printable, class names words of their own, one class at least; load_front names the file and keeps to one line; the remedy stands behind it, as on other errors. In the change log a number out of range is a bad record. Ruled out, held before: a file that is gone, a directory, cut off, not UTF-8, not JSON, [[[... 100,000 deep.

Before, the tests fail with: 'ValueError: cannot convert float NaN to integer', 'OverflowError: int too large to convert to float', and at SIGHUP a refusal that is never told (TimeoutError).

--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -9,6 +9,7 @@
 import json
 import math
 import os
+import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, fields, replace
 from enum import Enum
@@ -33,6 +34,9 @@
     "err_ps": "eps",
 }
 FILE_MOST = 16 * 1024 * 1024  # bytes of a configuration file
+DEPTH_MOST = 32  # of objects and lists in one another
+NUMBER_MOST = 2.0**64  # in size; a front that is told "never" may be told it by the largest such word
+NAME = re.compile(r"[^\s,]{1,100}")  # of a class: it becomes a value in the caches' lines
 MEMORY_LEAST, SOCKETS_LEAST = 16, 32  # below it nothing can be served; above it a tight front serves fewer
 Word = TypeVar("Word", bound=Enum)
 
@@ -60,8 +64,8 @@
             value = float(text)
         except ValueError:
             value = math.nan
-        if not math.isfinite(value):
-            raise SettingsError(f"settings hold {key}={text}, not a number")
+        if math.isnan(value) or abs(value) > NUMBER_MOST:
+            raise SettingsError(f"settings hold {key}={text[:30]}, not a number of {NUMBER_MOST:g} at most")
         return value
 
     def whole(self, key: str, absent: str | None = None, least: int | None = None) -> int:
@@ -87,10 +91,7 @@
         return text.split(",") if text else []
 
     def numbers(self, key: str) -> list[float]:
-        try:
-            return [float(item) for item in self.items(key)]
-        except ValueError:
-            raise SettingsError(f"settings hold {key} with an item that is not a number") from None
+        return [_Conf({key: item}).number(key) for item in self.items(key)]
 
 
 def _nth(values: list[float], n: int) -> int:
@@ -110,7 +111,7 @@
     fresh, grace = c.numbers(info + "class_fresh"), c.numbers(info + "usable_after")
     never = c.items(info + "never_kept")
     classes = []
-    for n in range(c.whole("services.count")):
+    for n in range(c.whole("services.count", least=1)):
         at = f"services.{n}."
         classes.append(
             RequestClass(
@@ -160,15 +161,17 @@
     )
 
 
-def lay_out(value: Any, at: str = "") -> Iterator[tuple[str, str]]:
+def lay_out(value: Any, at: str = "", depth: int = 0) -> Iterator[tuple[str, str]]:
     """A nested object as the pairs of the simulator's first message."""
+    if depth > DEPTH_MOST:
+        raise SettingsError(f"settings hold {at[:60]} nested over {DEPTH_MOST} deep")
     if isinstance(value, dict):
         for key, item in value.items():
-            yield from lay_out(item, f"{at}.{key}" if at else str(key))
+            yield from lay_out(item, f"{at}.{key}" if at else str(key), depth + 1)
     elif isinstance(value, list) and any(isinstance(item, dict | list) for item in value):
         yield f"{at}.count", str(len(value))
         for n, item in enumerate(value):
-            yield from lay_out(item, f"{at}.{n}")
+            yield from lay_out(item, f"{at}.{n}", depth + 1)
     elif isinstance(value, list):
         if not value:
             yield f"{at}.count", "0"
@@ -230,13 +233,19 @@
 
     def text(self, key: str) -> str:
         found: str = self.take(key, "a text", str)
-        return found
+        return self._shown(key, found)
+
+    def _shown(self, key: str, text: str) -> str:
+        if not text.isprintable():  # it stands in log lines and on the terminal
+            raise SettingsError(f"configuration holds {self.at}{key}={text[:30]!a}, which can't be printed")
+        return text
 
     def number(self, key: str, least: float) -> float:
-        found = float(self.take(key, f"a number of {least:g} at least", int, float))
-        if not math.isfinite(found) or found < least:
-            raise SettingsError(f"configuration holds {self.at}{key}={found:g}, less than {least:g}")
-        return found
+        found = self.take(key, f"a number of {least:g} at least", int, float)
+        if not least <= found <= NUMBER_MOST:  # also where it is NaN, or too long for a float
+            wanted = f"a number of {least:g} to {NUMBER_MOST:g}"
+            raise SettingsError(f"configuration holds {self.at}{key}={str(found)[:30]}, not {wanted}")
+        return float(found)
 
     def address(self, key: str) -> tuple[str, int]:
         try:
@@ -248,7 +257,17 @@
         found = self.take(key, "a list of texts", list)
         if not all(isinstance(item, str) for item in found):
             raise SettingsError(f"configuration holds {self.at}{key} with an item that is not a text")
-        return tuple(found)
+        return tuple(self._shown(key, item) for item in found)
+
+
+def _classes(services: list[Any]) -> tuple[str, ...]:
+    names = tuple(_Keys(item, f"settings.services.{n}.").text("name") for n, item in enumerate(services))
+    for n, name in enumerate(names):
+        if not NAME.fullmatch(name) or name in names[:n]:
+            raise SettingsError(
+                f"configuration holds settings.services.{n}.name={name[:30]!r}, not a word of its own"
+            )
+    return names
 
 
 def _seed(keys: _Keys) -> int:
@@ -297,7 +316,7 @@
         memory_mb=int(limits.number("memory_mb", MEMORY_LEAST)),
         sockets=int(limits.number("sockets", SOCKETS_LEAST)),
         settings=settings,
-        classes=tuple(_Keys(item, f"settings.services.{n}.").text("name") for n, item in enumerate(services)),
+        classes=_classes(services),
         zones=zones,
         kinds=raw.names("skus"),
         report_fields=report.names("fields"),
@@ -329,7 +348,11 @@
         value = json.loads(raw)
     except (ValueError, RecursionError) as error:
         raise SettingsError(f"ROUTER_CONFIG={place} is not JSON: {error}") from None
-    return read_front(value, environment, judge)
+    try:
+        return read_front(value, environment, judge)
+    except SettingsError as error:
+        line = "".join(c if c.isprintable() else "?" for c in str(error))  # a value may hold anything
+        raise SettingsError(line, where=place) from None
 
 
 # What a new configuration changes while the front serves; the rest counts from the next start.
--- a/quincepier/wire/changelog.py
+++ b/quincepier/wire/changelog.py
@@ -12,6 +12,7 @@
 from quincepier.wire.errors import ProtocolError
 
 STATES = {"SERVING": CacheState.READY, "DRAINING": CacheState.DRAINING, "DELETED": CacheState.GONE}
+NUMBER_MOST = 2.0**64  # in size
 DIALS_MOST = 16  # addresses listed beside a host's first
 Judge = Callable[[str], object]
 ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})")
@@ -70,6 +71,8 @@
     value = record.get(key) if isinstance(record, dict) else None
     if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
         raise ProtocolError(f"{key} is missing or of a wrong type")
+    if isinstance(value, int | float) and not abs(value) <= NUMBER_MOST:  # also NaN, or too long for a float
+        raise ProtocolError(f"{key} is out of range")
     return value
 
 
