Watch: a move, a closed rest, a gap, the start and the log's connection lose and delay no news

Traced with a scripted log on loopback in virtual time (tests/watchkit.py). Seen in net/watch.py, each at the lines named, with the message of its test on the unmended lines:

- `moved` was looked at after the poll: an answer whole in the turn of SIGHUP was dropped, a move during the back-off waited for its end and then dropped the first answer of the new address, and so did one before the first poll ("TimeoutError" of the wait for the new address, 1 and 6 pauses later).
The flag is gone: a move cancels the poll, the pause before it being a part of it, or closes what is done; what was answered whole is taken.
- `should_keep_alive` asked after the answer is always False (llhttp has started on the next message): each poll went over a new connection ("assert (2 == 1)" connections).
It is read as the answer ends.
- with that, a log that closes its connection as it is asked once more would count as an outage: asked again at once on a new one, counted as `change log connections closed at rest`, no failure.
- an answer 1xx ended the poll as one of that status; a second copy right behind an answer spoilt both.
- a log that answers at once with nothing new was asked without a pause ("asked without a pause": 200 asks in no time): one ask in 0.05 s.
- a record that can't be read right behind a gap was asked for for ever, as its tries and those of the gap set each other back ("the event behind both is told").
- the silence of 60 ms that ends the wait at the start went on counting once an answer had begun, or the poll had broken off ("it serves without what the log had").

Ruled out, tests stay as proofs: silence before the first answer and a drain right after; older numbers; events twice or out of order in one answer; gaps; half an answer at a move; two moves in a row; redirects, 503, an answer over the limit.

--- a/quincepier/net/watch.py
+++ b/quincepier/net/watch.py
@@ -35,15 +35,23 @@
     """What httptools tells of one answer."""
 
     def __init__(self) -> None:
-        self.body, self.whole, self.parser = bytearray(), False, httptools.HttpResponseParser(self)
+        self.body, self.status, self.kept = bytearray(), 0, False
+        self.parser = httptools.HttpResponseParser(self)
+
+    @property
+    def whole(self) -> bool:
+        return self.status >= 200  # answers of 1xx come before the one that counts (RFC 9110, section 15.2)
 
     def on_body(self, data: bytes) -> None:
-        self.body += data
-        if len(self.body) > ANSWER_MOST:
-            raise ProtocolError(f"an answer over {ANSWER_MOST} bytes")
+        if not self.whole:  # else of one that came a second time, right behind the first
+            self.body += data
+            if len(self.body) > ANSWER_MOST:
+                raise ProtocolError(f"an answer over {ANSWER_MOST} bytes")
 
     def on_message_complete(self) -> None:
-        self.whole = True
+        if not self.whole:
+            self.status = self.parser.get_status_code()
+            self.kept = self.parser.should_keep_alive()  # llhttp forgets it right after
 
 
 class Watch(Actor[None]):
@@ -58,15 +66,18 @@
         self.sock: socket.socket | None = None
         self.buffers = means.pool.take() or []  # its own for good: purges come whatever else is short
         self.polling: asyncio.Task[bytes] | None = None
-        self.moved = False
+        self.resting = False  # the connection is one that was kept, and has told nothing since the last ask
         self.current = asyncio.Event()  # what the log had as this front started is told
         self.wait_ms = first_poll(self.random, POLL_MS)  # that the next poll asks for
 
     def move(self) -> None:
-        """The configuration names another address: ask there now, from the number reached."""
-        self.moved, self.failures = True, 0
-        if self.polling is not None:
-            self.polling.cancel()
+        """The configuration names another address: ask there now, from the number reached.
+
+        A signal calls it, between any two lines of this actor; what was answered whole is taken all the same.
+        """
+        self.failures = 0
+        if self.polling is not None and not self.polling.cancel():
+            self._close()
 
     async def up_to_date(self) -> None:
         """Until what was missed between the list of the start and now is told, if the log can be asked.
@@ -78,40 +89,49 @@
                 await self.current.wait()
 
     async def run(self) -> None:
-        loop = asyncio.get_running_loop()
+        loop, due = asyncio.get_running_loop(), 0.0
         try:
             while True:
-                began = loop.time()
+                began, reached = max(loop.time(), due), self.last
+                self.polling = asyncio.ensure_future(self._poll(due))
+                await asyncio.wait((self.polling,))
+                due = 0.0
                 try:
-                    self.polling = asyncio.ensure_future(self._poll())
-                    await asyncio.wait((self.polling,))
-                    if self.moved:
-                        self.moved = False
+                    if self.polling.cancelled():  # the address is another one now
                         self._close()
                         continue
                     self._take(*decode_changes(self.polling.result(), self.means.judge))
                     self.failures = 0
+                    if self.last == reached:  # a log that does not wait is not asked without a pause
+                        due = began + BACK_OFF
                 except Exception as error:  # whatever it is, it is tried again
                     self._close()
+                    if self.resting and isinstance(error, ConnectionError):  # closed as it was asked
+                        self.checks.count("change log connections closed at rest")
+                        continue
                     self.failures += 1
                     self.checks.event("change log lost", f"{type(error).__name__}: {error}")
                     if self.failures > 1:
                         wait = min(BACK_OFF * 2 ** min(self.failures - 2, 10), BACK_OFF_MOST)
                         due = began + wait * self.random.uniform(0.5, 1)  # a try may have taken that long
-                        await asyncio.sleep(max(due - loop.time(), BACK_OFF))
+                        due = max(due, loop.time() + BACK_OFF)
         finally:
             if self.polling is not None:
                 self.polling.cancel()
             self._close()
 
     def _close(self) -> None:
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
+        sock, self.sock = self.sock, None
+        if sock is not None:
+            sock.close()
             self.descriptors.cache(-1)
 
-    async def _poll(self) -> bytes:
+    async def _poll(self, due: float) -> bytes:
+        """An answer's body, asked for at the time `due` of the loop; a move ends the wait for that too."""
         loop = asyncio.get_running_loop()
+        if due > loop.time():
+            await asyncio.sleep(due - loop.time())
+        self.resting = self.sock is not None
         if self.sock is None:
             self.sock = await connect(self.means.config.changelog, CONNECT_WITHIN)
             self.descriptors.cache(1)
@@ -120,18 +140,21 @@
         response, view = Response(), memoryview(self.buffers[0])
         async with asyncio.timeout(POLL_MS / 1000 + POLL_GRACE):
             await loop.sock_sendall(self.sock, ask.encode())
-            if not self.current.is_set():
-                loop.call_later(QUIET, self.current.set)
-            while not response.whole:
-                size = await loop.sock_recv_into(self.sock, view)
-                if size == 0:
-                    raise ProtocolError("the connection ends inside an answer")
-                response.parser.feed_data(view[:size])
-        status = response.parser.get_status_code()
-        if status != 200:
-            raise ProtocolError(f"an answer of status {status}")
+            quiet = loop.call_later(QUIET, self.current.set)
+            try:
+                while not response.whole:
+                    size = await loop.sock_recv_into(self.sock, view)
+                    if size == 0:
+                        raise ConnectionResetError("the connection ends inside an answer")
+                    self.resting = False
+                    quiet.cancel()  # what has begun is waited for, and so is the next poll if this one fails
+                    response.parser.feed_data(view[:size])
+            finally:
+                quiet.cancel()
+        if response.status != 200:
+            raise ProtocolError(f"an answer of status {response.status}")
         self.wait_ms = POLL_MS
-        if not response.parser.should_keep_alive():
+        if not response.kept:
             self._close()
         return bytes(response.body)
 
@@ -142,6 +165,7 @@
                 continue
             if event.seq != self.last + 1:
                 self._again(f"events {self.last + 1} to {event.seq - 1} are missing")
+                self.last = event.seq - 1  # the record itself has tries of its own
             if isinstance(event, BadRecord):
                 self._again(f"event {event.seq}: {event.why}")
             else:
