Tests: the impatient watch takes the pause before its poll, a mutant's name says what it does

The poll has a parameter now, so the mutant ended each poll with a TypeError and was found for that; it waits 1.1 s again. The mutant that hears late was renamed wrongly with the read side of clients.

--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -220,14 +220,14 @@
     story.way = "up"
 
 
-def read_closed(patch: pytest.MonkeyPatch) -> None:
+def waits_on(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(watch, "POLL_GRACE", 30.0)
 
 
 def impatient(patch: pytest.MonkeyPatch) -> None:
-    async def poll(self: watch.Watch) -> bytes:
+    async def poll(self: watch.Watch, due: float) -> bytes:
         async with asyncio.timeout(1.1):  # of its whole poll, what is late by more is never heard
-            return await plain(self)
+            return await plain(self, due)
 
     plain = watch.Watch._poll
     patch.setattr(watch.Watch, "_poll", poll)
@@ -239,7 +239,7 @@
 
 
 def stays(patch: pytest.MonkeyPatch) -> None:
-    read_closed(patch)
+    waits_on(patch)
     patch.setattr(watch.Watch, "move", lambda self: None)
 
 
@@ -269,7 +269,7 @@
 
 
 CASES: list[tuple[Callable[[Story], Awaitable[None]], Callable[[pytest.MonkeyPatch], None]]] = [
-    (silent, read_closed), (late, impatient), (cut, slow_again), (down, as_before), (refused, slow_again),
+    (silent, waits_on), (late, impatient), (cut, slow_again), (down, as_before), (refused, slow_again),
     (broken_off, slow_again), (moved, stays),
 ]  # fmt: skip
 
