Lingering clients closed for want of descriptors are counted

The bound on sockets that are read to their end has a counter for when it is met, as every bound is to have.

--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -53,7 +53,7 @@
         buffers = means.pool.take()
         assert buffers is not None, "the first buffer of the pool is there"
         self.scratch = memoryview(buffers[0])  # all connections are read into it, each for a moment
-        self.lingering = Lingering(self.descriptors, self.scratch)
+        self.lingering = Lingering(self.checks, self.descriptors, self.scratch)
         now = clock.now()
         self.active_clock = ActiveClock(now, LATE)
         self.wheel: Wheel[tuple[ClientConnection, bool]] = Wheel(now, GRAIN)
--- a/quincepier/net/lingering.py
+++ b/quincepier/net/lingering.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 
+from quincepier.checks import Checks
 from quincepier.net.sockets import Descriptors
 
 LINGERS_FOR = 1.0  # seconds given to a peer to close its side
@@ -19,8 +20,8 @@
 class Lingering:
     """Bounded in number and time; the oldest goes first where descriptors are short."""
 
-    def __init__(self, descriptors: Descriptors, scratch: memoryview) -> None:
-        self.descriptors, self.scratch = descriptors, scratch
+    def __init__(self, checks: Checks, descriptors: Descriptors, scratch: memoryview) -> None:
+        self.checks, self.descriptors, self.scratch = checks, descriptors, scratch
         self.open: dict[socket.socket, asyncio.TimerHandle] = {}  # the oldest first
 
     def add(self, sock: socket.socket) -> None:
@@ -40,6 +41,7 @@
         """Descriptors that clients need are not kept for those who have been told to go."""
         room = self.descriptors.clients_most - self.descriptors.clients + SPARE_LINGERING
         while len(self.open) > max(room, 0):
+            self.checks.count("lingering clients closed: descriptors used up")
             self._close(next(iter(self.open)))
 
     async def end(self, seconds: float) -> None:
