--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -112,6 +112,7 @@
                 return c
         now, streams = clock.now(), self.shared.config.streams
         able = [c for c in self.connections if not (c.lost or c.doubtful or id in c.ghosts or c.stalled(now))]
+        able = [c for c in able if not c.unheeded]
         coming = [c for c in able if c.sock is None]
         if len(coming) >= self.ramp.most:
             ride = min(coming, key=lambda c: len(c.open))
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -109,6 +109,11 @@
         """The next answer on it would be that of the next command."""
         return self.unused and not self.outgoing and not self.since
 
+    @property
+    def unheeded(self) -> bool:
+        """Nobody waits for the answer that is under way; one to the next command would stand behind it."""
+        return self.unused and self.since > 0
+
     def close(self) -> None:
         self.lost = True
         if self.task is not None and self.begun:  # a task that never ran would leave its descriptor counted
@@ -120,7 +125,7 @@
         Either for as long as a connection may take to come up.
         """
         most = self.shared.config.dial_timeout
-        endless = self.unused and 0 < self.since < now - most
+        endless = self.unheeded and now - self.since > most
         return endless or (not self.between and now - self.heard > most)
 
     async def run(self) -> None:
--- a/quincepier/net/shared.py
+++ b/quincepier/net/shared.py
@@ -44,13 +44,13 @@
         return max(self.descriptors.caches_most // (users + 1), 1)
 
     def descriptor(self) -> bool:
-        """Whether there is one for a connection more; the one idle for longest goes where there is none."""
+        """Whether there is one for a connection more; the one unused for longest goes where there is none."""
         if self.descriptors.caches < self.descriptors.caches_most:
             return True
-        idle = [c for actor in self.actors.values() for c in actor.connections if c.idle]
-        if idle:
-            min(idle, key=lambda c: c.used).close()
-        return bool(idle)
+        unused = [c for actor in self.actors.values() for c in actor.connections if c.unused]
+        if unused:
+            min(unused, key=lambda c: c.used).close()
+        return bool(unused)
 
     async def room(self, length: int) -> Body:
         """Buffers for so many bytes; nothing more is read from the connection until they are there."""
--- a/tests/attemptkit.py
+++ b/tests/attemptkit.py
@@ -157,6 +157,15 @@
         assert self.module.mailbox.add(Came(request))
         return request
 
+    def taken(self, name: str) -> None:
+        """The module and this machine's actor get to what came last, in this turn."""
+        came = self.module.mailbox.take()
+        assert came is not None
+        self.module.safely(came)
+        sent = self.cache(name).mailbox.take()
+        assert sent is not None
+        self.cache(name).safely(sent)
+
     def left(self, request: OpenRequest) -> None:
         """As its client's connection does, the mark first and the message when the module gets to it."""
         request.gone = True
