Whole bodies that use up their room close no client that is half way

Seen: with the room for bodies used up by whole ones (30 writes of 48,000 bytes waiting, memory_mb 32), clients that had sent a part of their next write were closed, and lost the request that they had open. Checked: the log says "client closed: too much half-sent", three of four times in a row. The account holds whole and half-sent bodies as one; the next part of anyone's puts it over its bound. At fault: ConnectionManager.hold, which closes who holds most whatever fills the account. Ruled out: the refusal of a whole body in _call, which is an answer. Change: it closes only where what is half-sent is over half of the bound itself. So the account is bounded by one and a half of its share; what does not fit is refused once whole, as ever.

--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -33,6 +33,7 @@
 # Seconds at the front's end: for answers on their way out, then for clients to close their side too.
 FLUSH, LAST = 0.1, 0.15
 GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+HALF_SENT = 0.5  # of the bodies' bytes, beside as many whole ones as there may be
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
 
@@ -119,7 +120,10 @@
         """Account for what a connection has sent of requests not whole yet; the one that holds most goes."""
         self.bodies += held - connection.held
         connection.held = held
-        if self.bodies > self.bodies_most and held:
+        if self.bodies <= self.bodies_most or not held:
+            return
+        # whole bodies alone are no fault of who is half way: what comes beside those is refused once whole
+        if sum(c.held for c in self.in_session) > self.bodies_most * HALF_SENT:
             self.checks.event("client closed: too much half-sent")
             max(self.in_session, key=lambda c: c.held).close()
 
