Cold budgets: a hit gives back only what was booked since the start was told

Seen: 30 modules, each with one attempt out that names a parent as its source; the parent's start is told, then the cache answers from its own copy. Also: a machine that starts again shortly before it is warm, told when it was thought warm, began with the debt of all that went out to the warm machine.

Checked: debts are drawn anew at the first look (they are), a second start under the same and another id, clients that leave and come again, seven in ten fronts that restart: all held already (tests/test_cold_fleet.py). Ruled out: what `send` books twice.

At fault: `believe` in trust.py credited the source for every hit, also for attempts booked before the debt was drawn; `room` in cold.py took `paid`, the last look, for the time of the draw, which a start told late may be before.

Change: the time of the draw is kept (`drawn`): a start since begins a new debt, and only attempts sent since give back.

--- a/quincepier/policy/cold.py
+++ b/quincepier/policy/cold.py
@@ -24,8 +24,8 @@
         if multiple == math.inf:  # it is warm
             return True
         rate = COLD_SAFETY * multiple * share * self.size(node) / self.sharers(node)
-        if node.paid < node.cold_at:
-            node.paid, node.credit = self.now, -self.random.random() * max(self.work)
+        if node.drawn < node.cold_at:
+            node.paid, node.drawn, node.credit = self.now, self.now, -self.random.random() * max(self.work)
         saved = node.credit + rate * (self.now - node.paid)
         node.paid, node.credit = self.now, min(saved, COLD_BURST * rate * self.s.cold_window)
         return node.credit >= 0
--- a/quincepier/policy/parts.py
+++ b/quincepier/policy/parts.py
@@ -25,7 +25,7 @@
         self.heard, self.failed = 0, 0.0  # its last sign of work, and the attempts broken off since
         self.denied: Node | None = None  # the cache by which it gave nothing last
         self.suspect, self.trial_at, self.wait, self.leaving = False, 0, 0, 0  # when what was recalled ends
-        self.credit, self.paid = 0.0, -1  # for the cold budget: work that may be sent, and when last earned
+        self.credit, self.paid, self.drawn = 0.0, -1, -1  # cold budget: work to send, when earned, when begun
         self.pace, self.step = Pace(*PACE), 0  # its part of the keys is halved by two steps
         self.out: dict[tuple[int, int], Attempt] = {}
         self.recent: deque[int] = deque(maxlen=HOT_OF)  # objects last asked for
--- a/quincepier/policy/trust.py
+++ b/quincepier/policy/trust.py
@@ -28,7 +28,7 @@
                 source.denied = node
             elif e.ending is (Ending.MISS if attempt.held else Ending.OK) and not from_cache:
                 self.trust(source)
-            source.credit += attempt.work * from_cache  # it was not asked
+            source.credit += attempt.work * (from_cache and attempt.at > source.drawn)  # it was not asked
 
     def trust(self, node: Node) -> None:
         node.heard, node.failed, node.denied = self.now, 0, None
