Cold budgets: a parent in a zone where fronts stand is shared by all fronts

Seen: 30 fronts, 10 of them in the parents' zone: the cold parent gets 1.05 times N + 2 x root of N + 2 within 5 s of its start (16 transfers, load on all).

Checked: parents are hashed over all listed ones, of all hubs, so all fronts ask each. Ruled out: edge caches, which only their zone's fronts list; hubs without fronts, where all are counted already.

At fault: `sharers` in pace.py divided a parent's budget by the fronts of the parent's zone.

Change: for parents the fronts of all zones count.

--- a/quincepier/policy/cold.py
+++ b/quincepier/policy/cold.py
@@ -37,5 +37,4 @@
             span = BORNE_FADE / math.log(2) * (1 - math.exp2((self.born - self.now) / BORNE_FADE))
             self.borne[kind] = (work, self.now)
             if alike and not any(n.suspect or self.cold(n)[1] < math.inf for n in alike):
-                whole = work / (span + BORNE_LEAST) * self.sharers(alike[0]) / len(alike)
-                self.sizes[kind] = max(whole, 1.0)
+                self.sizes[kind] = max(work / (span + BORNE_LEAST) * self.sharers(alike[0]) / len(alike), 1.0)
--- a/quincepier/policy/pace.py
+++ b/quincepier/policy/pace.py
@@ -22,7 +22,8 @@
         return node.machine.size if listed else self.sizes.get(node.machine.kind, 1.0)
 
     def sharers(self, node: Node) -> int:
-        return fronts_that_ask(self.s.fronts, self.s.fronts_by_zone, node.machine.zone)
+        s, m = self.s, node.machine  # a parent serves the fronts of all zones
+        return fronts_that_ask(s.fronts, () if m.kind == s.parent_kind else s.fronts_by_zone, m.zone)
 
     def bore(self, attempt: Attempt, ending: Ending, from_cache: bool) -> None:
         for one in (attempt.node, attempt.source) if ending is Ending.OK else ():
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -171,6 +171,12 @@
         assert Fleet(30, size, seed, always(3), leave=leave, killed=killed).play(5).strain() <= 1, seed
 
 
+def test_a_parent_beside_some_fronts_is_shared_by_all() -> None:
+    """Parents of all hubs are hashed over, so a parent's budget is not that of its own zone's fronts."""
+    for seed in SEEDS:
+        assert Fleet(30, 16.0, seed, always(6), upper=True, near=10).play(5).strain() <= 1, seed
+
+
 def test_a_cold_machine_is_warmed() -> None:
     """The rule is not kept by asking nothing: under load two fifths of the budget at least are used."""
     for fronts, size in ((20, 3.0), (30, 3.0), (30, 8.0)):
