Cold budgets: a turn that is not taken passes where one request of each front is too much

Seen: fronts that are asked nothing for a while each save up enough for one request at a cold machine; clients that then come to all at once bring them together.

Checked and found to hold before and after, against N + 2 x root of N + 2 (it was 3 and 3): load on 20 and 30 fronts, N below 1, half told up to 7 s late, two starts, also under another id, clients that leave, fronts that restart. Ruled out: first credits (debts by chance spread them) and the quarter of a window saved up, where the machine stands one request of each front.

At fault: `room` in cold.py kept a credit at or above zero for good, and a credit of zero is a request.

Change: where N + 2 x root of N + 2 is less than the fronts, credit that is not used runs through a cycle, so that in a window no more than N + half the root of N have a turn; elsewhere nothing changes.

--- a/quincepier/policy/cold.py
+++ b/quincepier/policy/cold.py
@@ -3,7 +3,7 @@
 import math
 
 from quincepier.policy.pace import Paces
-from quincepier.policy.parts import BORNE_FADE, SECOND, Node
+from quincepier.policy.parts import BORNE_FADE, MS, SECOND, Node
 
 COLD_SAFETY, COLD_BURST = 0.6, 0.25  # earned of a budget, as sizes are rough; saved up of a window's earnings
 BORNE_LEAST = 3 * SECOND  # a front's first signs of work served count over so long at least
@@ -19,22 +19,24 @@
         share = least + (1 - least) * max(age, 0) / max(warm, 1)
         return share, s.parent_cold_multiple if upper else s.cold_multiple
 
-    def room(self, node: Node) -> bool:  # credit by time, by turns
-        share, multiple = self.cold(node)
-        if multiple == math.inf:  # it is warm
+    def room(self, node: Node) -> bool:  # credit by time; of many fronts' turns each passes if not taken
+        if (cold := self.cold(node))[1] == math.inf:  # it is warm
             return True
-        rate = COLD_SAFETY * multiple * share * self.size(node) / self.sharers(node)
+        most, n, span = max(*self.work, MS), self.sharers(node), max(self.s.cold_window, 1)
+        calls = math.prod(cold) * self.size(node) * span / most  # that all together may ask in a window
+        earned, turns = COLD_SAFETY * calls * most / n, calls + math.sqrt(calls) / 2  # of all, with some over
         if node.drawn < node.cold_at:
-            node.paid, node.drawn, node.credit = self.now, self.now, -self.random.random() * max(self.work)
-        saved = node.credit + rate * (self.now - node.paid)
-        node.paid, node.credit = self.now, min(saved, COLD_BURST * rate * self.s.cold_window)
+            node.paid, node.drawn, node.credit = self.now, self.now, -self.random.random() * most
+        saved = node.credit + earned * (self.now - node.paid) / span
+        node.paid, few = self.now, n <= calls + 2 * math.sqrt(calls) + 2  # it stands one of each at once
+        turn = COLD_BURST * earned if few else min((turns - COLD_SAFETY * calls) / (n - turns), 1) * most
+        node.credit = saved if saved <= turn else turn if few else (saved + most) % (turn + most) - most
         return node.credit >= 0
 
     def weigh(self) -> None:  # sizes, by what a kind bears while all of it are up and warm
         for kind, (work, at) in self.borne.items():
             alike = [n for n in self.nodes.values() if n.machine.kind == kind]
-            work *= math.exp2((at - self.now) / BORNE_FADE)
             span = BORNE_FADE / math.log(2) * (1 - math.exp2((self.born - self.now) / BORNE_FADE))
-            self.borne[kind] = (work, self.now)
+            self.borne[kind] = (work := work * math.exp2((at - self.now) / BORNE_FADE), self.now)
             if alike and not any(n.suspect or self.cold(n)[1] < math.inf for n in alike):
                 self.sizes[kind] = max(work / (span + BORNE_LEAST) * self.sharers(alike[0]) / len(alike), 1.0)
--- a/quincepier/policy/placement.py
+++ b/quincepier/policy/placement.py
@@ -55,8 +55,7 @@
 
     def reweigh(self) -> None:  # a slow one keeps its part by the square of its pace
         for group in (self.edges, self.parents):
-            paces = [n.pace.times(self.now) for n in group]
-            easy = PACE_EASY * min(paces, default=1.0)
+            easy = PACE_EASY * min(paces := [n.pace.times(self.now) for n in group], default=1.0)
             for node, pace in zip(group, paces, strict=True):
                 if (step := int(4 * math.log2(max(pace / easy, 1.0)))) != node.step:
                     node.step, self.ranks = step, {}
--- a/quincepier/policy/trust.py
+++ b/quincepier/policy/trust.py
@@ -76,6 +76,5 @@
             self.distrust(node, "silent")
 
     def log(self, text: str) -> None:
+        self.out += [Log(text)] * (self.logs < LOGS_MOST)
         self.logs += 1
-        if self.logs <= LOGS_MOST:
-            self.out.append(Log(text))
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -171,6 +171,14 @@
         assert Fleet(30, size, seed, always(3), leave=leave, killed=killed).play(5).strain() <= 1, seed
 
 
+def test_what_fronts_saved_up_while_nothing_was_asked_does_not_add_up() -> None:
+    """Some seconds without requests, then all fronts are asked at once: each alone has room for one."""
+    for fronts, size, quiet in ((30, 2.0, 10), (30, 1.0, 12), (20, 1.0, 10)):
+        for seed in SEEDS:
+            played = Fleet(fronts, size, seed, at_once_after(quiet)).play(quiet + 1)
+            assert played.strain() <= 1, (fronts, size, seed)
+
+
 def test_a_parent_beside_some_fronts_is_shared_by_all() -> None:
     """Parents of all hubs are hashed over, so a parent's budget is not that of its own zone's fronts."""
     for seed in SEEDS:
--- a/tests/test_standing_cold.py
+++ b/tests/test_standing_cold.py
@@ -53,13 +53,13 @@
                         bench.end(sent, Ending.OK, Note.FILLED)
 
     def stands(self, at: int) -> float:
-        """N + 3 x root of N + 3, from the settings."""
+        """N + 2 x root of N + 2, from the settings."""
         s, upper = self.settings, self.kind == PARENT
         least, warm = (s.parent_cold_from, s.parent_cold_time) if upper else (s.cold_from, s.cold_time)
         multiple = s.parent_cold_multiple if upper else s.cold_multiple
         share = min(least + (1 - least) * (at - self.start) / warm, 1)
         n = multiple * share * SIZE * s.cold_window / SECOND / WORK
-        return n + 3 * math.sqrt(n) + 3
+        return n + 2 * math.sqrt(n) + 2
 
     def pushed(self) -> bool:
         """Whether in some window over two thirds of what makes it fall may have come from who was told."""
