--- a/quincepier/net/shared.py
+++ b/quincepier/net/shared.py
@@ -53,7 +53,7 @@
             oldest = min(unused, key=lambda c: c.used)
             at_once = oldest.idle  # else its writer waits for the socket
             oldest.close()
-            if at_once and oldest.sock is not None:  # its tasks end turns after the new one has its descriptor
+            if at_once and oldest.sock is not None:  # its tasks end after the new one is dialled
                 oldest.reading = False
                 let_go(oldest.sock)
         return bool(unused)
