--- a/quincepier/memory/requests.py
+++ b/quincepier/memory/requests.py
@@ -32,6 +32,7 @@
     allow: int
     came: int
     body: bytes
+    idempotency_key: str = ""  # of a write whose repeats the caches drop by it; passed on unchanged
     number: int = -1
     over: bool = False  # it has its final answer, or the client has left
     gone: bool = False  # its client closed or cancelled: set by its connection before the module hears
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -65,6 +65,7 @@
     ("HTTP_X_ALLOW_MS", WHOLE.pattern),
     ("HTTP_X_AGAIN", "1?"),
     ("HTTP_X_MINE", f"({HEX_16.pattern})?"),
+    ("HTTP_X_UNIQUE", "[0-9A-Za-z_-]{0,64}"),
 )
 USUAL = re.compile("\n".join(pattern for _, pattern in FIELDS))
 
@@ -100,7 +101,7 @@
     values = [get(field, "") for field, _ in FIELDS]
     if not USUAL.fullmatch("\n".join(values)):
         raise _at_fault(params)
-    job, item, part, group, allow, again, known = values
+    job, item, part, group, allow, again, known, idempotency_key = values
     return OpenRequest(
         owner=owner,
         stream=call.id,
@@ -116,6 +117,7 @@
         allow=_whole("HTTP_X_ALLOW_MS", allow, 1, ALLOW_TIMES * deadline // clock.MS) * clock.MS,
         came=came,
         body=call.body,
+        idempotency_key=idempotency_key,
     )
 
 
@@ -201,6 +203,8 @@
             fields.append(("opts", opts))
     if request.known:
         fields.append(("known", request.known))
+    if request.idempotency_key:
+        fields.append(("once", request.idempotency_key))
     return fields
 
 
--- a/tests/test_translate.py
+++ b/tests/test_translate.py
@@ -46,6 +46,24 @@
     return Call(4, params(JOB, cls, **changes), body, True)
 
 
+@pytest.mark.parametrize("key", ["bf4477839c81fe24f451edb2cdbb622a", "A-z_9", "k" * 64])
+def test_idempotency_key_of_a_write_is_passed_on_unchanged(key: str) -> None:
+    """Caches know the repeats of a keyed write by it; without it they take the request for another one."""
+    taken, known = open_request(call(b"xy", "bid", HTTP_X_UNIQUE=key), CLASSES, Inbox(), 50), directory()
+    for sent in range(2):  # each attempt
+        fields = serve_fields(io.Ask(1, known.number("s-1"), sent), taken, known, clock.SECOND)
+        assert [value for name, value in fields if name == "once"] == [key]
+    plain = open_request(call(b"xy", "bid"), CLASSES, Inbox(), 50)
+    ask = io.Ask(1, known.number("s-1"), 0)
+    assert "once" not in dict(serve_fields(ask, plain, known, clock.SECOND))
+
+
+@pytest.mark.parametrize("key", ["a b", "a,b=c", "k" * 65, "a\r\nb", "ä"])
+def test_idempotency_key_that_would_be_more_than_one_field_is_refused(key: str) -> None:
+    with pytest.raises(BadRequest, match="HTTP_X_UNIQUE|line break"):
+        open_request(call(b"xy", "bid", HTTP_X_UNIQUE=key), CLASSES, Inbox(), 50)
+
+
 def test_request_in_the_stated_form() -> None:
     taken = open_request(call(b"xy", HTTP_X_AGAIN="1", HTTP_X_MINE="4be0c1927d55a6f3"), CLASSES, Inbox(), 50)
     assert (taken.stream, taken.job, taken.cls, taken.class_name) == (4, JOB, 1, "lot-image")
