--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -112,6 +112,7 @@
                 return c
         now, streams = clock.now(), self.shared.config.streams
         able = [c for c in self.connections if not (c.lost or c.doubtful or id in c.ghosts or c.stalled(now))]
+        able = [c for c in able if not c.unheeded]
         coming = [c for c in able if c.sock is None]
         if len(coming) >= self.ramp.most:
             ride = min(coming, key=lambda c: len(c.open))
@@ -135,9 +136,20 @@
         return address is not None and way is not None and way.resting(address)
 
     def freed(self, connection: Connection) -> None:
-        """It has nothing out: the next attempt takes it first, and those left over grow old and close."""
+        """It has nothing out: what waits for a dial goes over it; else the next attempt takes it first, and
+
+        those left over grow old and close.
+        """
         self.connections.remove(connection)
         self.connections.append(connection)
+        if not connection.idle or connection.doubtful:
+            return
+        dials = [c for c in self.connections if c.sock is None and not c.lost]
+        waits = next((w for c in dials if (w := c.take_waiting(connection)) is not None), None)
+        if waits is not None:
+            id, what, command = waits
+            self.out[what] = id, connection
+            connection.send(id, what, command)
 
     def _give_up(self, what: OpenAttempt | Probe, ending: Ending) -> None:
         if what in self.out:
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -88,6 +88,16 @@
         if silent:
             self.against("silent", owed=True)
 
+    def take_waiting(self, other: Connection) -> tuple[str, OpenAttempt | Probe, bytes] | None:
+        """The first that waits for this dial and may go over the other connection: it waits here no more."""
+        for what, command in self.outgoing:
+            id = next((id for id, one in self.open.items() if one is what), None)
+            if what is not None and id is not None and id not in other.ghosts:
+                self.outgoing.remove((what, command))
+                del self.open[id]
+                return id, what, command
+        return None
+
     def past(self, id: str) -> None:
         self.ghosts[id] = None
         if len(self.ghosts) > GHOSTS_MOST:
@@ -109,6 +119,11 @@
         """The next answer on it would be that of the next command."""
         return self.unused and not self.outgoing and not self.since
 
+    @property
+    def unheeded(self) -> bool:
+        """Nobody waits for the answer that is under way; one to the next command would stand behind it."""
+        return self.unused and self.since > 0
+
     def close(self) -> None:
         self.lost = True
         if self.task is not None and self.begun:  # a task that never ran would leave its descriptor counted
@@ -120,7 +135,7 @@
         Either for as long as a connection may take to come up.
         """
         most = self.shared.config.dial_timeout
-        endless = self.unused and 0 < self.since < now - most
+        endless = self.unheeded and now - self.since > most
         return endless or (not self.between and now - self.heard > most)
 
     async def run(self) -> None:
--- a/quincepier/net/shared.py
+++ b/quincepier/net/shared.py
@@ -45,17 +45,18 @@
         return max(self.descriptors.caches_most // (users + 1), 1)
 
     def descriptor(self) -> bool:
-        """Whether there is one for a connection more; the one idle for longest goes where there is none."""
+        """Whether there is one for a connection more; the one unused for longest goes where there is none."""
         if self.descriptors.caches < self.descriptors.caches_most:
             return True
-        idle = [c for actor in self.actors.values() for c in actor.connections if c.idle]
-        if idle:
-            oldest = min(idle, key=lambda c: c.used)
+        unused = [c for actor in self.actors.values() for c in actor.connections if c.unused]
+        if unused:
+            oldest = min(unused, key=lambda c: c.used)
+            at_once = oldest.idle  # else its writer waits for the socket
             oldest.close()
-            if oldest.sock is not None:  # at once: its tasks end turns after the new one has its descriptor
+            if at_once and oldest.sock is not None:  # its tasks end after the new one is dialled
                 oldest.reading = False
                 let_go(oldest.sock)
-        return bool(idle)
+        return bool(unused)
 
     async def room(self, length: int) -> Body:
         """Buffers for so many bytes; nothing more is read from the connection until they are there."""
--- a/quincepier/policy/trust.py
+++ b/quincepier/policy/trust.py
@@ -8,15 +8,15 @@
 from quincepier.policy.parts import SECOND, Attempt, Node
 
 SUSPECT_FOR, SUSPECT_MOST = SECOND, 8 * SECOND  # wait before a trial, doubled at each failure
-LOST_LEAST = 4  # attempts broken off in a row that make a loss; a faulty machine that serves most is of use
+LOST_LEAST = 4  # attempts broken off in a row that make a loss, or not come up while it answered no other
 SILENT_LEAST, LOGS_MOST = 2, 40  # overdue attempts: one may be a large object; log lines of one run
 
 
 class Trust(Cold):
     def believe(self, attempt: Attempt, e: AttemptEnded, from_cache: bool) -> None:
-        node, source = attempt.node, attempt.source
+        node, source, answered = attempt.node, attempt.source, attempt.node.heard > attempt.at  # another
         if e.ending in (Ending.CONNECT_FAILED, Ending.RESET) and not e.another_way:
-            self.distrust(node, "lost", 1 if e.ending is Ending.RESET else LOST_LEAST)
+            self.distrust(node, "lost", 1 if e.ending is Ending.RESET or answered else LOST_LEAST)
         elif e.ending in (Ending.OK, Ending.ERROR, Ending.FULL, Ending.MISS):
             self.trust(node)
         if source is not None:
@@ -28,7 +28,7 @@
                 source.denied = node
             elif e.ending is (Ending.MISS if attempt.held else Ending.OK) and not from_cache:
                 self.trust(source)
-            source.credit += attempt.work * from_cache  # it was not asked
+            source.credit += attempt.work * (from_cache and attempt.at > source.drawn)  # it was not asked
 
     def trust(self, node: Node) -> None:
         node.heard, node.failed, node.denied = self.now, 0, None
@@ -76,6 +76,5 @@
             self.distrust(node, "silent")
 
     def log(self, text: str) -> None:
+        self.out += [Log(text)] * (self.logs < LOGS_MOST)
         self.logs += 1
-        if self.logs <= LOGS_MOST:
-            self.out.append(Log(text))
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -181,6 +181,7 @@
             open_now = len(manager.lingering.open)
             assert open_now == manager.descriptors.lingering == min(most, most - held + room)
         assert manager.descriptors.peak <= most + room + 1  # the one that comes is there before others go
+        assert manager.checks.counts["lingering clients closed: descriptors used up"] == most - room
         for peer in peers[: most - room]:  # the oldest: closed on both sides
             assert peer.ours.fileno() == -1
         for connection in list(manager.connections):
@@ -343,10 +344,10 @@
         manager.active.left = 0  # the others had this turn
         peer.sock.close()
         turns = 0
-        while not message.request.gone:
+        while not message.request.gone and turns <= 3 * len(crowd) // READS:
             await asyncio.sleep(0)
             turns += 1
-        assert turns <= 3 * len(crowd) // READS and manager.active.longest > READS
+        assert message.request.gone and manager.active.longest > READS
 
     on_loop(scenario)
 
