--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -18,7 +18,7 @@
         usable = max(limit - SPARE, 8)
         self.clients_most = usable // 2
         self.caches_most = usable - self.clients_most
-        self.clients = self.caches = self.peak = 0
+        self.clients = self.caches = self.lingering = self.peak = 0
 
     def client(self, by: int) -> None:
         self.clients += by
@@ -28,8 +28,13 @@
         self.caches += by
         self._mark()
 
+    def lingers(self, by: int) -> None:
+        """Clients' sockets that were closed for writing and are read to their end."""
+        self.lingering += by
+        self._mark()
+
     def _mark(self) -> None:
-        self.peak = max(self.peak, self.clients + self.caches)
+        self.peak = max(self.peak, self.clients + self.caches + self.lingering)
 
 
 def make_socket() -> socket.socket:
@@ -67,6 +72,12 @@
     return sock
 
 
+def let_go(sock: socket.socket) -> None:
+    """Close a socket now, of which the loop may have a reader; else it stays open until that one is gone."""
+    asyncio.get_running_loop().remove_reader(sock)
+    sock.close()
+
+
 class Unreached(OSError):
     """No address of a machine came up; `absent` where each of them said that nobody is there."""
 
