A client that takes none of its answers goes for a new one where all descriptors are held so

Seen: twelve clients that ask for large objects and read nothing hold all descriptors of clients for good; each new one is closed as it comes, for as long as they stay (12 s in the test). Checked: nobody among them is new or at rest, so the registry finds nobody to go; the buffers are not used up, so make_room is not asked. Ruled out: "its last answer is not taken", which is for closing connections alone. At fault: ConnectionManager.admit, which takes the registry's "no room" as final. Nothing open is lost.

--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -33,6 +33,7 @@
 # Seconds at the front's end: for answers on their way out, then for clients to close their side too.
 FLUSH, LAST = 0.1, 0.15
 GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+STALLED_FOR = 2.0  # seconds in which a client took nothing, to go for a new one where nobody else can
 HALF_SENT = 0.5  # of the bodies' bytes, beside as many whole ones as there may be
 WAIT_LEAST = 0.6  # part of the longest wait that a refused client is told at least: not all come back at once
 
@@ -46,6 +47,8 @@
         self.means, self.classes = means, class_table(means.config)
         self.connections: set[ClientConnection] = set()
         self.in_session: set[ClientConnection] = set()  # those that are not at rest
+        # who does not take what it is owed: when bytes last went, and since when by the active clock
+        self.stalled: dict[ClientConnection, tuple[int, int]] = {}
         self.places = places
         most = self.descriptors.clients_most
         caps = Caps(most) if places is None else places.caps(most)
@@ -80,6 +83,10 @@
         """A connection for a new client's socket; closed where there is no room, or who goes for it is."""
         connection = ClientConnection(self, sock)
         verdict, gone = self.registry.came(connection, *self._network(host))
+        if verdict is Verdict.FULL and (stalled := self._stalled_longest()) is not None:
+            self.checks.event("slow client closed: descriptors used up")
+            stalled.close()
+            verdict, gone = self.registry.came(connection, *self._network(host))
         if verdict is not Verdict.STAYS:
             full = verdict is Verdict.FULL
             why = "descriptors used up" if full else "its network is at its cap"
@@ -104,6 +111,13 @@
         most = self.means.config.wait_ms
         return None if most is None else max(int(self.random.uniform(WAIT_LEAST, 1) * most), 1)
 
+    def _stalled_longest(self) -> ClientConnection | None:
+        """Who has taken nothing of its answers for longest, and for long, with none still to be made."""
+        latest = self.active_clock.time - int(STALLED_FOR * clock.SECOND)
+        found = [c for c, (_, since) in self.stalled.items() if since <= latest and not c.closed]
+        done = [c for c in found if c.session and all(r.over for r in c.session.open.values())]
+        return min(done, key=lambda c: self.stalled[c][1]) if done else None
+
     def make_room(self) -> None:
         """The pool is used up. Of the client that has taken nothing for longest, answers not begun become
         failures; where there are none, what has begun is cut by closing its connection."""
@@ -140,6 +154,9 @@
             except Exception as error:
                 self.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
                 connection.close()
+        stalled = {c: (c.moved, time) for c in self.in_session if c.writer is not None}
+        kept = {c: told for c, told in self.stalled.items() if c in stalled and told[0] == c.moved}
+        self.stalled = kept | {c: told for c, told in stalled.items() if c not in kept}
 
     # Turns of the loop
 
