Laboratory: objects of a class with sizes of a heavy tail, told or not

A class had one size. With `sigma` its objects draw log-normal sending times by their hash; the class's mean stays (the tail is cut at three sigmas). Where the module's settings tell sizes, a request brings its own. Lateness is still judged by the class's mean size.

--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 from pathlib import Path
+from statistics import NormalDist
 from typing import Annotated, Any
 
 import msgspec
 
 from quincepier.interface import Effect, Group, RequestClass, Settings
+from quincepier.keys import mix
 from quincepier.operator.reading import OperatorError, read_struct
 
 MS = 1_000_000
 SECOND = 1000 * MS
+SIZES, SIZE_MOST = 0x517E, 3.0  # the draw of sizes by object; where the log-normal's tail is cut, in sigmas
 EDGE, PARENT, ORIGIN = 0, 1, 2  # kinds of machine, by their number
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -122,6 +126,7 @@
     worth: Positive = 1.0
     stretch: AtLeast0 = 2.0
     effect: Effect = Effect.SAFE
+    sigma: Annotated[float, msgspec.Meta(ge=0, le=3)] = 0.0  # of the log-normal sizes of objects; 0: alike
     objects: Count = 500
     parts: Count = 1
     zipf: AtLeast0 = 1.0
@@ -199,6 +204,14 @@
     def group(self, obj: int) -> int:
         return obj * 0x9E3779B1 % self.load.groups
 
+    def sending(self, cls: int, obj: int) -> float:
+        """The sending time of an object alone, in nanoseconds; the class's mean is kept whatever the spread."""
+        c = self.classes[cls]
+        if not c.sigma:
+            return c.send_ms * MS
+        drawn = NormalDist().inv_cdf(((mix(obj, SIZES) >> 12) + 0.5) / 2**52)
+        return c.send_ms * MS * math.exp(min(c.sigma * drawn, SIZE_MOST * c.sigma) - c.sigma**2 / 2)
+
     def settings(self, zone: int, variant: Variant) -> Settings:
         """Of the module of a front in that zone."""
         fleet = self.fleet
--- a/quincepier/lab/machines.py
+++ b/quincepier/lab/machines.py
@@ -125,7 +125,7 @@
                 self.host.reply(order, Ending.CONNECT_FAILED, Note.NONE, 0, None)
             return
         c = self.plan.classes[order.cls]
-        work = c.send_ms * MS
+        work = self.plan.sending(order.cls, order.key[0])
         if not self._asked(machine, work, order.number):
             self.host.reply(order, Ending.RESET, Note.NONE, 0, None)
             return
--- a/quincepier/lab/world.py
+++ b/quincepier/lab/world.py
@@ -326,7 +326,8 @@
         self.judge.asked(self.now, request.number, front.number, c.effect.value, self.now + left)
         if self.stalls:
             self.after(left, front.left, request)
-        front.tell(io.RequestCame(request.number, cls, 0.0, 0, group, obj, part, tries > 0, left))
+        size = self.experiment.sending(cls, obj) / SECOND * front.router.s.client_kb_per_s  # 0: not told
+        front.tell(io.RequestCame(request.number, cls, size, 0, group, obj, part, tries > 0, left))
 
     def answered(
         self, front: Front, request: Request, status: str, minted: int | None, sent: int, wait: int
