An idle cache or link is not full for what is large or wanted soon

Ruled out: retry budget, silences, deadlines (nothing was sent at all, or only looks). At fault: `crowded` (placement.py) and `full` (fills.py) asked whether one more would come late, which it does from an idle machine too once the sending time is near the aim; before the first answer the sending time counts as the wanted time, so nothing was ever learnt. `full` also divided the pace of fills by the part that one front sees, so that as quick as usual was 2.6 times too slow for twenty fronts. Change: the aim is 2.2 times the sending time at least (past PACE_EASY at the tightest CROWD), and a link is full only past PACE_EASY. A class whose aim is over that, told no sizes, is treated as before.

--- a/quincepier/policy/fills.py
+++ b/quincepier/policy/fills.py
@@ -6,7 +6,7 @@
 
 from quincepier.interface import AttemptEnded, Ending, Log, Note
 from quincepier.policy.attempts import Attempts
-from quincepier.policy.parts import HOLD, MS, SECOND, Attempt, Request
+from quincepier.policy.parts import HOLD, MS, PACE_EASY, SECOND, Attempt, Request
 
 TIER_WEIGHTS = (80.0, 15.0, 5.0)  # the design's shares of releases, highest tier first
 BOOST_EVERY, FLOOR_EVERY = 10, SECOND  # held for one object that add one; a tier's floor (design)
@@ -36,10 +36,10 @@
             self.give_up(req)
 
     def full(self, req: Request) -> bool:  # for the bound or the zone's link
-        link = self.link * math.exp2((self.link_at - self.now) / LINK_FADE)
-        if self.now - self.link_at > 2 * LINK_FADE:
-            link = self.fetch.times(self.now) / (LINK_PART + (1 - LINK_PART) / self.mates)  # all see it
-        return self.fills >= self.bound or link * self.work_of(req) > self.aim(req)
+        link, part = self.link * math.exp2((self.link_at - self.now) / LINK_FADE), 1.0
+        if self.now - self.link_at > 2 * LINK_FADE:  # all see it
+            link, part = self.fetch.times(self.now), LINK_PART + (1 - LINK_PART) / self.mates
+        return self.fills >= self.bound or link > max(part * self.aim(req) / self.work_of(req), PACE_EASY)
 
     def hold(self, req: Request) -> None:
         self.held[req.tier].setdefault(req.key, deque()).append(req)
--- a/quincepier/policy/pace.py
+++ b/quincepier/policy/pace.py
@@ -7,12 +7,12 @@
 from quincepier.recovery import fronts_that_ask
 
 USUAL_LEAST, USUAL_RISE = 20, 0.01 / SECOND  # answers before the least of their mean counts; how it forgets
-WORK_NEW = 0.02  # least weight of a new answer in the mean sending time of a class; first all count alike
+WORK_NEW, AIM_LEAST = 0.02, 2.2  # a new answer's least weight in a mean; CROWD of the aim is past PACE_EASY
 
 
 class Paces(State):
-    def aim(self, req: Request) -> float:
-        return req.cls.on_time + req.cls.stretch * self.work_of(req)
+    def aim(self, req: Request) -> float:  # what even an idle machine can't do is not aimed for
+        return max(req.cls.on_time + req.cls.stretch * (work := self.work_of(req)), AIM_LEAST * work)
 
     def work_of(self, req: Request) -> float:  # its own where told, else its class's mean
         return max(req.told or self.work[req.e.cls], MS)
