--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -205,7 +205,7 @@
         return obj * 0x9E3779B1 % self.load.groups
 
     def sending(self, cls: int, obj: int) -> float:
-        """The sending time of an object alone, in nanoseconds; the class's mean is kept whatever the spread."""
+        """The sending time of an object alone, in nanoseconds; the class's mean is kept."""
         c = self.classes[cls]
         if not c.sigma:
             return c.send_ms * MS
