Names of classes: beyond ASCII they are found, and what no line can carry is told at the start

Seen: a class named other than in ASCII was answered 404, each request of it. Parameters are decoded as Latin-1 (wire/fastcgi.py), the configuration's names are texts, and translate.open_request compared the two. A name with a space, a comma or a line break went out as such on the caches' lines of words; of two classes with one name the first was lost. Ruled out: the caches' commands, which encode names as UTF-8 already. Change: a path with other than ASCII is read as UTF-8 before the look-up; a name that is no word, or that another class has, is refused with its key.

--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -9,6 +9,7 @@
 import json
 import math
 import os
+import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, fields, replace
 from enum import Enum
@@ -34,6 +35,7 @@
 }
 FILE_MOST = 16 * 1024 * 1024  # bytes of a configuration file
 MEMORY_LEAST, SOCKETS_LEAST = 16, 32  # below it nothing can be served; above it a tight front serves fewer
+CLASS_NAME = re.compile(r"[^\s,\x00-\x1f\x7f]{1,200}")  # a field's value on a line of words
 Word = TypeVar("Word", bound=Enum)
 
 
@@ -285,6 +287,12 @@
     on_probe = report.text("how") == "on_probe"
     if on_probe and site.value.get("probes", True) is False:
         raise SettingsError("configuration holds settings.report.how=on_probe, but probes are not allowed")
+    classes = tuple(_Keys(item, f"settings.services.{n}.").text("name") for n, item in enumerate(services))
+    for n, name in enumerate(classes):
+        if not CLASS_NAME.fullmatch(name) or name in classes[:n]:
+            raise SettingsError(
+                f"configuration holds settings.services.{n}.name={name[:60]!r}: a word of its own is wanted"
+            )
     last, events = _known(keys, judge)
     zones = raw.names("zones")
     if settings.zone >= len(zones):
@@ -297,7 +305,7 @@
         memory_mb=int(limits.number("memory_mb", MEMORY_LEAST)),
         sockets=int(limits.number("sockets", SOCKETS_LEAST)),
         settings=settings,
-        classes=tuple(_Keys(item, f"settings.services.{n}.").text("name") for n, item in enumerate(services)),
+        classes=classes,
         zones=zones,
         kinds=raw.names("skus"),
         report_fields=report.names("fields"),
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -91,6 +91,8 @@
     params, get = call.params, call.params.get
     path = get("SCRIPT_NAME", "") + get("PATH_INFO", "")
     name = path.removeprefix(PATH)
+    if not name.isascii():  # parameters are read byte by byte; names of classes are texts
+        name = name.encode("latin-1", "replace").decode("utf-8", "replace")
     if not path.startswith(PATH) or name not in classes:
         raise BadRequest(404, "the path names no class")
     number, deadline = classes[name]
