Settings of any customer: nothing refused for a wanted time of 0 or of the whole deadline

Read beside it and forced by tests: - router.came refused what had waited longer than a part of the wanted time; with a wanted time of some ms that is the microseconds that every request waits on sockets. Up to a round (10 ms) counts as no wait now. - State.work began at the wanted time: as long as the deadline, no further attempt fitted, though the first never ran (1 ms of 3 s was gone); 0, a cold machine's budget booked nothing and took 60 of 60 requests at once. It begins at half of the deadline at most, and there where nothing is wanted; a recalled mean that lapses goes back to it. Without it the tests fail with: assert 0 == 1 (an attempt); assert 60 <= 2.

--- a/quincepier/policy/parts.py
+++ b/quincepier/policy/parts.py
@@ -34,11 +34,10 @@
 class Request:
     def __init__(self, e: io.RequestCame, s: io.Settings, tier: int, now: int, home: io.Home | None) -> None:
         self.e, self.cls, self.tier, self.came, kb = e, s.classes[e.cls], tier, now, s.client_kb_per_s
-        self.open: dict[int, Attempt] = {}
         self.deadline, self.sent, self.held, self.begun = now + e.time_left, 0, False, False
         self.first_ran: tuple[int, io.Machine] | None = None  # when and where one first may have run
         self.avoid, self.home = list[Node](), home  # where its key lives; None: on any machine
-        self.key = mix(e.object, e.part)
+        self.key, self.open = mix(e.object, e.part), dict[int, Attempt]()
         self.told = e.size_kb / kb * SECOND if kb else 0.0  # its sending time, where sizes are told
 
 
@@ -62,7 +61,8 @@
         self.edges, self.parents, self.origins = list[Node](), list[Node](), list[Node]()
         self.requests, self.attempts = dict[int, Request](), dict[tuple[int, int], Attempt]()
         self.hits, self.purges = OrderedDict[tuple[int, int], int](), OrderedDict[tuple[int, int], int]()
-        self.work = [float(c.on_time) for c in settings.classes]  # mean sending time; high until it is seen
+        self.unseen = [min(c.on_time or c.deadline, c.deadline / 2) for c in settings.classes]
+        self.work = [*self.unseen]  # mean sending time; until it is seen high, yet another attempt fits in
         self.samples, self.fetch = Counter[int](), Pace(*PACE)  # answers of a class; all fills, by the link
         self.usual = dict[tuple[int, bool, bool], tuple[float, int, float, int]]()  # see compare
         self.began = self.born = now  # this front, and the work that its memory is of; see weigh
--- a/quincepier/policy/router.py
+++ b/quincepier/policy/router.py
@@ -5,7 +5,7 @@
 from quincepier import interface as io
 from quincepier.interface import Ending, Note
 from quincepier.keys import remember
-from quincepier.policy.attempts import WATCH_EVERY
+from quincepier.policy.attempts import RELEASE_EVERY, WATCH_EVERY
 from quincepier.policy.fills import Fills
 from quincepier.policy.parts import BOUND_START, DEADLINE, HOLD, RELIST, ROUND, STOOD, WATCH, Attempt, Request
 from quincepier.policy.placement import HIT_MEMORY
@@ -43,7 +43,7 @@
     def came(self, e: io.RequestCame) -> None:
         tier, cls = self.tiers[e.cls], self.s.classes[e.cls]
         self.asked.add(e.cls)
-        behind = e.waited > TURN_PART * cls.on_time / (1 + tier) and not cls.never_kept
+        behind = e.waited > max(TURN_PART * cls.on_time / (1 + tier), RELEASE_EVERY) and not cls.never_kept
         if behind or e.time_left <= self.s.step:  # refused while that costs little, the lowest tier first
             self.out.append(io.Refuse(e.request, self.advice()))
             self.out += map(io.Log, self.back.over(self.now, cls.worth, False))
--- a/quincepier/recovery/memory.py
+++ b/quincepier/recovery/memory.py
@@ -65,6 +65,7 @@
     bound: int
     s: io.Settings
     work: list[float]
+    unseen: list[float]
     samples: Counter[int]
     usual: dict[tuple[int, bool, bool], tuple[float, int, float, int]]
     borne: dict[int, tuple[float, int]]
@@ -169,7 +170,7 @@
 
 def _forget_class(router: Knows[Machine], cls: int, seen: int) -> None:
     if router.samples[cls] - seen < OWN:
-        router.work[cls], router.samples[cls] = float(router.s.classes[cls].on_time), 0
+        router.work[cls], router.samples[cls] = router.unseen[cls], 0
 
 
 def _forget_usual(router: Knows[Machine], key: tuple[int, bool, bool], seen: int) -> None:
