--- a/quincepier/net/shared.py
+++ b/quincepier/net/shared.py
@@ -10,6 +10,7 @@
 from quincepier.config import FrontConfig
 from quincepier.memory.pool import Body
 from quincepier.net.means import Means
+from quincepier.net.sockets import let_go
 
 if TYPE_CHECKING:
     from quincepier.net.cache import CacheActor
@@ -44,13 +45,18 @@
         return max(self.descriptors.caches_most // (users + 1), 1)
 
     def descriptor(self) -> bool:
-        """Whether there is one for a connection more; the one idle for longest goes where there is none."""
+        """Whether there is one for a connection more; the one unused for longest goes where there is none."""
         if self.descriptors.caches < self.descriptors.caches_most:
             return True
-        idle = [c for actor in self.actors.values() for c in actor.connections if c.idle]
-        if idle:
-            min(idle, key=lambda c: c.used).close()
-        return bool(idle)
+        unused = [c for actor in self.actors.values() for c in actor.connections if c.unused]
+        if unused:
+            oldest = min(unused, key=lambda c: c.used)
+            at_once = oldest.idle  # else its writer waits for the socket
+            oldest.close()
+            if at_once and oldest.sock is not None:  # its tasks end after the new one is dialled
+                oldest.reading = False
+                let_go(oldest.sock)
+        return bool(unused)
 
     async def room(self, length: int) -> Body:
         """Buffers for so many bytes; nothing more is read from the connection until they are there."""
