--- a/quincepier/config.py
+++ b/quincepier/config.py
@@ -36,7 +36,7 @@
 FILE_MOST = 16 * 1024 * 1024  # bytes of a configuration file
 DEPTH_MOST = 32  # of objects and lists in one another
 NUMBER_MOST = 2.0**64  # in size; a front that is told "never" may be told it by the largest such word
-NAME = re.compile(r"[^\s,]{1,100}")  # of a class: it becomes a value in the caches' lines
+NAME = re.compile(r"[^\s,\x00-\x1f\x7f]{1,100}")  # of a class: it becomes a value in the caches' lines
 MEMORY_LEAST, SOCKETS_LEAST = 16, 32  # below it nothing can be served; above it a tight front serves fewer
 Word = TypeVar("Word", bound=Enum)
 
