--- a/quincepier/net/watch.py
+++ b/quincepier/net/watch.py
@@ -66,6 +66,7 @@
         self.sock: socket.socket | None = None
         self.buffers = means.pool.take() or []  # its own for good: purges come whatever else is short
         self.polling: asyncio.Task[bytes] | None = None
+        self.due = 0.0  # the next poll, by the loop's clock in seconds
         self.resting = False  # the connection is one that was kept, and has told nothing since the last ask
         self.current = asyncio.Event()  # what the log had as this front started is told
         self.wait_ms = first_poll(self.random, POLL_MS)  # that the next poll asks for
@@ -75,7 +76,7 @@
 
         A signal calls it, between any two lines of this actor; what was answered whole is taken all the same.
         """
-        self.failures = 0
+        self.failures, self.due = 0, 0.0
         if self.polling is not None and not self.polling.cancel():
             self._close()
 
@@ -89,13 +90,13 @@
                 await self.current.wait()
 
     async def run(self) -> None:
-        loop, due = asyncio.get_running_loop(), 0.0
+        loop = asyncio.get_running_loop()
         try:
             while True:
-                began, reached = max(loop.time(), due), self.last
-                self.polling = asyncio.ensure_future(self._poll(due))
+                began, reached = max(loop.time(), self.due), self.last
+                self.polling = asyncio.ensure_future(self._poll())
                 await asyncio.wait((self.polling,))
-                due = 0.0
+                self.due = 0.0
                 try:
                     if self.polling.cancelled():  # the address is another one now
                         self._close()
@@ -103,7 +104,7 @@
                     self._take(*decode_changes(self.polling.result(), self.means.judge))
                     self.failures = 0
                     if self.last == reached:  # a log that does not wait is not asked without a pause
-                        due = began + BACK_OFF
+                        self.due = began + BACK_OFF
                 except Exception as error:  # whatever it is, it is tried again
                     self._close()
                     if self.resting and isinstance(error, ConnectionError):  # closed as it was asked
@@ -114,7 +115,7 @@
                     if self.failures > 1:
                         wait = min(BACK_OFF * 2 ** min(self.failures - 2, 10), BACK_OFF_MOST)
                         due = began + wait * self.random.uniform(0.5, 1)  # a try may have taken that long
-                        due = max(due, loop.time() + BACK_OFF)
+                        self.due = max(due, loop.time() + BACK_OFF)
         finally:
             if self.polling is not None:
                 self.polling.cancel()
@@ -126,11 +127,11 @@
             sock.close()
             self.descriptors.cache(-1)
 
-    async def _poll(self, due: float) -> bytes:
-        """An answer's body, asked for at the time `due` of the loop; a move ends the wait for that too."""
+    async def _poll(self) -> bytes:
+        """An answer's body, asked for once it is due; a move ends the wait for that too."""
         loop = asyncio.get_running_loop()
-        if due > loop.time():
-            await asyncio.sleep(due - loop.time())
+        if self.due > loop.time():
+            await asyncio.sleep(self.due - loop.time())
         self.resting = self.sock is not None
         if self.sock is None:
             self.sock = await connect(self.means.config.changelog, CONNECT_WITHIN)
--- a/tests/watchkit.py
+++ b/tests/watchkit.py
@@ -102,7 +102,7 @@
         pool = BufferPool(4, 0)
         self.means = Means(config, self.checks, pool, Descriptors(64), self.module, budget)
         self.watch = Watch(self.means)
-        self.watch.random.uniform = lambda least, most: most  # type: ignore[method-assign]
+        self.watch.random.uniform = lambda least, most: most  # type: ignore[method-assign, assignment]
 
     @property
     def taken(self) -> list[int]:
