--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -225,9 +225,9 @@
 
 
 def impatient(patch: pytest.MonkeyPatch) -> None:
-    async def poll(self: watch.Watch, due: float) -> bytes:
+    async def poll(self: watch.Watch) -> bytes:
         async with asyncio.timeout(1.1):  # of its whole poll, what is late by more is never heard
-            return await plain(self, due)
+            return await plain(self)
 
     plain = watch.Watch._poll
     patch.setattr(watch.Watch, "_poll", poll)
