A client closed in the turn in which its writer was made lets go of its socket

Checked: the event is logged, the connection is off the registry. A task that is cancelled before its first step never comes to its finally; the writer is made in _put_out, and the same turn of the loop reads on and closes. At fault: ClientConnection.close, which leaves the socket to Writing._rest. Change: the end of the task lets go of the socket, whether it ran or not.

--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -127,7 +127,9 @@
                 self._forget(request)
                 manager.module.push(Left(request))
         if self.writer is not None:
-            self.writer.cancel()  # the socket closes behind it
+            # the socket closes behind it, also where it was made in this turn and has not run at all
+            self.writer.add_done_callback(lambda _: self._shut())
+            self.writer.cancel()
         else:
             self._shut(linger)
 
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -146,9 +146,6 @@
             broken = True
         finally:
             self.writer = None
-            if self.closed:
-                await asyncio.sleep(0)  # the loop lets go of the socket first
-                self._shut()
         if not self.closed:
             if broken:
                 self.close()
