Short answers that a client does not take are bounded

Seen: pings, requests past the thirty-second or management records without end from a client that reads nothing made the front's memory grow by 43, 108 and 51 MB in 8 s, with memory_mb 64. Checked: session.control takes each short answer; nothing is written while the socket takes none, and reading goes on. "Half a request for too long" spares who is owed something, and that one always is. At fault: Reading._received. Change: with over 1,024 of them behind a socket that takes none, it is closed; a usual client has 32 requests open.

--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -16,6 +16,7 @@
 WHOLE_WITHIN = 2.0  # seconds that one message may take
 ROW = 4  # reads of one connection in a row
 FAULT_PAUSE, FAULT_PAUSE_MOST = 0.02, 1.0  # seconds not read after a faulty request; doubled at each
+UNTAKEN_MOST = 1024  # short answers behind a socket that takes none; usual clients have 32 requests open
 LISTEN_WITHIN = 0.05  # seconds not read at most while a request is open: its client may leave or abort
 
 
@@ -94,6 +95,10 @@
                     self.closing = self.closing or closes
                     self.read_closed = self.read_closed or closes
                     self._stir()
+        if self.writer is not None and len(session.control) > UNTAKEN_MOST:
+            manager.checks.event("client closed: its short answers are not taken")
+            self.close()
+            return
         held = session.decoder.held
         if held or self.held:
             manager.hold(self.itself, held)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from tests.fcgikit import call, params
-from tests.limitkit import descriptors, item, ping, play_at, resident
+from tests.fcgikit import call, params, rec
+from tests.limitkit import descriptors, half, item, ping, play_at, resident
 from tests.standins import Asked, Behaviour, Client, Front, until
 
 MB = 1024 * 1024
@@ -155,3 +155,40 @@
             sock.close()
 
     play_at(tmp_path, fleet(origin=lambda asked: asked.data(LARGE)), scenario, 256, memory_mb=64)
+
+
+@pytest.mark.parametrize("flood", ["pings", "requests past the thirty-second", "values"])
+def test_who_asks_without_end_and_reads_nothing_is_closed(tmp_path: Path, flood: str) -> None:
+    """Each is answered at once; what its socket does not take must not pile up."""
+    kinds = {
+        "pings": b"".join(ping(n) for n in range(100, 10_000)),
+        "requests past the thirty-second": rec(1, 40, bytes([0, 1, 1, 0, 0, 0, 0, 0])) * 10_000,
+        "values": (rec(9, 0) * 500 + rec(4, 31, b"\x00\x00")) * 10,
+    }
+
+    async def scenario(front: Front) -> None:
+        loop, sock = asyncio.get_running_loop(), socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(front.address)
+        sock.setblocking(False)
+        await loop.sock_sendall(sock, ping(99))
+        await loop.sock_recv(sock, 1000)
+        if flood != "pings":
+            await loop.sock_sendall(sock, b"".join(half(n) for n in range(1, 33)))
+        before = resident(front)
+
+        async def send() -> None:
+            while True:
+                await loop.sock_sendall(sock, kinds[flood])
+
+        sending = asyncio.create_task(send())
+        await until(lambda: front.logged("its short answers are not taken"), "it is closed")
+        with pytest.raises(ConnectionError):
+            async with asyncio.timeout(10):
+                await sending
+        client = await front.client()
+        assert await usual(client, 1000, 5) == 5
+        assert resident(front) - before < 8 * MB
+        sock.close()
+
+    play_at(tmp_path, fleet(), scenario, 64, memory_mb=64)
