--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -65,7 +65,7 @@
             self.ended(message.attempt, Ending.RESET, clock.now())
 
     def _send(self, id: str, what: OpenAttempt | Probe, command: bytes, timeout: int) -> None:
-        if isinstance(what, OpenAttempt) and what.recalled:  # as it waited in the mailbox
+        if isinstance(what, OpenAttempt) and what.barred(clock.now()):  # as it waited in the mailbox
             self.ended(what, Ending.MOOT, clock.now())
             return
         connection = self._connection(id)
@@ -89,7 +89,7 @@
     ) -> None:
         """Its connection ended, one of several addresses: on over another, or told as it is."""
         assert self.way is not None
-        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.recalled)
+        recalled = self.leaving or (isinstance(what, OpenAttempt) and what.barred(clock.now()))
         most = len(self.way.book.entries) if command is not None else 0
         ending = self.way.fate(begun, absent, recalled, self.moves.get(what, 0), most)
         connection = self._connection(id) if ending is None else None
@@ -112,6 +112,7 @@
                 return c
         now, streams = clock.now(), self.shared.config.streams
         able = [c for c in self.connections if not (c.lost or c.doubtful or id in c.ghosts or c.stalled(now))]
+        able = [c for c in able if not c.unheeded]
         coming = [c for c in able if c.sock is None]
         if len(coming) >= self.ramp.most:
             ride = min(coming, key=lambda c: len(c.open))
@@ -135,9 +136,20 @@
         return address is not None and way is not None and way.resting(address)
 
     def freed(self, connection: Connection) -> None:
-        """It has nothing out: the next attempt takes it first, and those left over grow old and close."""
+        """It has nothing out: what waits for a dial goes over it; else the next attempt takes it first, and
+
+        those left over grow old and close.
+        """
         self.connections.remove(connection)
         self.connections.append(connection)
+        if not connection.idle or connection.doubtful:
+            return
+        dials = [c for c in self.connections if c.sock is None and not c.lost]
+        waits = next((w for c in dials if (w := c.take_waiting(connection)) is not None), None)
+        if waits is not None:
+            id, what, command = waits
+            self.out[what] = id, connection
+            connection.send(id, what, command)
 
     def _give_up(self, what: OpenAttempt | Probe, ending: Ending) -> None:
         if what in self.out:
@@ -184,8 +196,8 @@
         idle = max(self.shared.config.idle - clock.SECOND, self.shared.config.idle // 2)
         for connection in list(self.connections):
             done = now - connection.used > idle or self.leaving or connection.doubtful
-            if (done and connection.idle) or (not late and connection.stalled(now)):
-                if not connection.between:
+            if (done and connection.unused) or (not late and connection.stalled(now)):
+                if not connection.between and now - connection.heard > self.shared.config.dial_timeout:
                     connection.against("half an answer, then nothing")
                     self.checks.event("half an answer of a cache, then nothing", self.host)
                 connection.close()
@@ -201,3 +213,5 @@
             self.address = address
             for connection in self.connections:
                 connection.doubtful = True
+                if connection.sock is None:  # what waits for it is for the machine, not for who is there now
+                    connection.close()
