--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -243,10 +243,6 @@
         leaving = {cache for cache, state in listed.items() if state is not io.CacheState.READY}
         if news.scope is not ListScope.CHANGES:
             leaving |= self.caches.keys() - listed.keys()
-        for cache, actor in self.caches.items():  # and for one that has another address now
-            entry = self.directory.entry(cache)
-            if entry is not None and entry.record.address != actor.address:
-                leaving.add(cache)
         if leaving:
             for request in list(self.requests.open.values()):
                 for attempt in request.attempts:
