Test: large answers take turns with small ones, forced in one turn of the loop

Where that one is read whole before the small ones are, it goes out alone, and rightly first: the verdict hung on which socket the loop read first. In its place: the process test forces each order of answers, one after another, and checks the order and bodies; tests/test_idle.py hands a connection a large answer and three others in one turn, the large first, and checks the whole order of their ends. With answers sent one after the other (appendleft in Writing._batch) it fails with 'assert [1, 2, 3, 4] == [2, 4, 3, 1]'.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -62,26 +62,21 @@
     play(tmp_path, fleet(lambda asked: asked.data(large)), scenario)
 
 
-def test_answers_in_any_order_and_large_ones_take_turns_with_small(tmp_path: Path) -> None:
+def test_answers_in_any_order(tmp_path: Path) -> None:
     waiting: list[Asked] = []
 
-    def edge(asked: Asked) -> None:
-        waiting.append(asked)
-        if len(waiting) == 3:
-            waiting[0].data(b"L" * 240_000)
-            for other in waiting[1:]:
-                other.data(b"small")
-
     async def scenario(front: Front) -> None:
         client = await front.client()
         for n in (1, 2, 3):
             client.ask(n, HTTP_X_N=str(n))
         await until(lambda: len(waiting) == 3, "all are out")
-        for n in (1, 2, 3):
-            assert (await client.ended(n)).status == 200
-        assert client.records.order[-1] == int(waiting[0].id, 16)  # the large one, though it came first
+        order = [waiting[n] for n in (2, 0, 1)]
+        for asked, body in zip(order, (b"last first", b"L" * 240_000, b"small"), strict=True):
+            asked.data(body)
+            assert (await client.ended(int(asked.id, 16))).body == body
+        assert client.records.order == [int(asked.id, 16) for asked in order]
 
-    play(tmp_path, fleet(edge), scenario)
+    play(tmp_path, fleet(waiting.append), scenario)
 
 
 def test_slow_answer_comes_whole_and_delays_no_other_machine(tmp_path: Path) -> None:
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -279,6 +279,28 @@
     on_loop(scenario)
 
 
+def test_a_large_answer_that_is_there_first_takes_turns_with_small_ones() -> None:
+    async def scenario() -> None:
+        manager = make_manager()
+        manager.pool.most = 1000
+        peer, sizes = Peer(manager), {1: 240_000, 2: 5, 3: 70_000, 4: 5}
+        peer.sock.send(b"".join(call(n, params(f"{n:016x}")) for n in sizes))
+        await until(lambda: len(manager.module.last) == 4, "all are asked")
+        while (message := manager.module.take()) is not None:  # all in one turn, the largest first
+            assert isinstance(message, Came)
+            size = sizes[message.request.stream]
+            body = Body.of_length(manager.pool, size)
+            assert body is not None
+            body.append(bytes(size))
+            message.request.owner.push(Answer(message.request, 200, body))
+        await until(lambda: all(peer.answered(n) for n in sizes), "all are answered")
+        assert peer.reader.order == [2, 4, 3, 1]
+        assert [len(peer.reader.got[n].body) for n in sizes] == [*sizes.values()]
+        peer.connection.close()
+
+    on_loop(scenario)
+
+
 def test_at_the_limit_a_crowd_of_one_network_does_not_push_out_another() -> None:
     async def scenario() -> None:
         section = ClientsSection(each=0, rest_least_ms=0, slack=1)
