A client's socket is closed also where the rest of its answer had not begun

Seen: an answer does not fit the socket, so a task is made for the rest; in the same turn of the loop the client's end or bytes that are no record are read. The connection counted as closed for good, with its descriptor open and counted and the connection kept by the manager. Checked: the task was cancelled before its first step, so nothing of it ran. Ruled out: the loop holding the socket (the writer is not yet added), the lingering sockets (the connection was never among them). At fault: Writing._rest, whose `finally` alone called _shut, and ClientConnection.close, which cancels it. Change: close() has the socket shut by a callback of the task's end, which comes whether it began or not and a turn after the loop let go of the socket. The close inside _rest and its pause are removed. Measured: without it both cases fail with "AssertionError: its socket is closed", with it they pass.

--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -127,7 +127,9 @@
                 self._forget(request)
                 manager.module.push(Left(request))
         if self.writer is not None:
-            self.writer.cancel()  # the socket closes behind it
+            # The socket closes behind it, once the loop has let go of it; a task that never began ends too.
+            self.writer.add_done_callback(lambda _: self._shut())
+            self.writer.cancel()
         else:
             self._shut(linger)
 
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -146,14 +146,10 @@
             broken = True
         finally:
             self.writer = None
-            if self.closed:
-                await asyncio.sleep(0)  # the loop lets go of the socket first
-                self._shut()
-        if not self.closed:
-            if broken:
-                self.close()
-            else:
-                self._flush()
+        if broken:
+            self.close()
+        else:
+            self._flush()
 
     def _batch(self, session: Session) -> bytes:
         """Answers take turns, a record each, so that a large one does not delay the small."""
