A connection that came up while the front stood still is up

Seen: a dial comes up while the front has no CPU, and the standstill outlasts what it is allowed. On return the dial ended with TimeoutError, which counts as absent: the attempt ends CONNECT_FAILED and the machine is set aside, though it was there; many fronts do so at once where the cause is shared. Checked: asyncio.timeout cancels a task whose connect has completed in the same turn, or before the loop has looked at the socket. Ruled out: the system (the socket has a peer by then). At fault: sockets.connect and dialer.dial, which take the timer's word. Change: one connect_within for both; after a time-out the socket is asked once whether it has a peer. A cancel from outside stays one, and what is not up stays TimeoutError (a test each). Measured: without it both cases fail with TimeoutError out of connect, with it they pass.

--- a/quincepier/net/dialer.py
+++ b/quincepier/net/dialer.py
@@ -33,7 +33,7 @@
 from quincepier.addresses.section import AddressesSection
 from quincepier.interface import Ending
 from quincepier.net.means import Means
-from quincepier.net.sockets import Unreached, no_delay
+from quincepier.net.sockets import Unreached, connect_within
 
 CAUSES = {
     errno.ECONNREFUSED: Cause.REFUSED,
@@ -72,12 +72,11 @@
     sock = socket.socket(FAMILIES[address.family], socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
-        async with asyncio.timeout(timeout):
-            if address.family is Family.UNIX:
+        if address.family is Family.UNIX:
+            async with asyncio.timeout(timeout):
                 await _dial_unix(sock, address)
-            else:
-                await asyncio.get_running_loop().sock_connect(sock, address.target)
-                no_delay(sock)
+        else:
+            await connect_within(sock, address.target, timeout)
     except BaseException:
         sock.close()
         raise
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -63,15 +63,30 @@
     """A connected socket; OSError where it is refused or not up in time."""
     sock = make_socket()
     try:
-        async with asyncio.timeout(timeout):
-            await asyncio.get_running_loop().sock_connect(sock, address)
-        no_delay(sock)
+        await connect_within(sock, address, timeout)
     except BaseException:
         sock.close()
         raise
     return sock
 
 
+async def connect_within(sock: socket.socket, address: object, timeout: float) -> None:
+    """Connect it; OSError where it is refused, TimeoutError where it is not up after so many seconds.
+
+    After a standstill of the front the time is up before the loop has told of a connection that came up
+    meanwhile, so the system has the last word.
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            await asyncio.get_running_loop().sock_connect(sock, address)  # type: ignore[arg-type]
+    except TimeoutError:
+        try:
+            sock.getpeername()
+        except OSError:
+            raise TimeoutError from None
+    no_delay(sock)
+
+
 def let_go(sock: socket.socket) -> None:
     """Close a socket now, of which the loop may have a reader; else it stays open until that one is gone."""
     asyncio.get_running_loop().remove_reader(sock)
--- a/tests/test_crossings_standstill.py
+++ b/tests/test_crossings_standstill.py
@@ -5,11 +5,15 @@
 import asyncio
 import os
 import socket
+import time
 from collections.abc import Callable
 
 import pytest
 
+from quincepier.addresses import parse
 from quincepier.memory.pool import Body
+from quincepier.net import sockets
+from quincepier.net.dialer import dial
 from quincepier.net.messages import Answer, Came
 from tests.attemptkit import on_loop
 from tests.fcgikit import call, params
@@ -18,6 +22,7 @@
 
 LARGE = os.urandom(480_000)
 TURNS = 8  # of the loop, more than any close takes
+LIMIT, STANDSTILL = 0.1, 0.25  # seconds: allowed to a dial, and without CPU
 
 
 def ends(peer: socket.socket) -> None:
@@ -62,3 +67,64 @@
         assert not manager.connections and manager.descriptors.clients == 0 and manager.pool.used == 1
 
     on_loop(scenario)
+
+
+class Standstill(socket.socket):
+    """The front has no CPU from the moment on in which the connect is under way; the system goes on."""
+
+    def connect(self, address: object) -> None:
+        try:
+            super().connect(address)  # type: ignore[arg-type]
+        finally:
+            time.sleep(STANDSTILL)
+
+
+Dial = Callable[[tuple[str, int], float], "asyncio.Future[socket.socket]"]
+
+
+def over_one(address: tuple[str, int], timeout: float) -> asyncio.Future[socket.socket]:
+    return asyncio.ensure_future(sockets.connect(address, timeout))
+
+
+def in_a_race(address: tuple[str, int], timeout: float) -> asyncio.Future[socket.socket]:
+    return asyncio.ensure_future(dial(parse("{}:{}".format(*address)), timeout))
+
+
+@pytest.mark.parametrize("begin", [over_one, in_a_race])
+def test_a_connection_that_came_up_while_the_front_stood_still_is_up(
+    monkeypatch: pytest.MonkeyPatch, begin: Dial
+) -> None:
+    monkeypatch.setattr(socket, "socket", Standstill)
+
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            sock = await begin(server.getsockname(), LIMIT)
+            assert sock.getpeername() == server.getsockname()
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            sock.close()
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("begin", [over_one, in_a_race])
+def test_one_that_nobody_waits_for_any_more_or_that_is_not_up_stays_none(
+    monkeypatch: pytest.MonkeyPatch, begin: Dial
+) -> None:
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as server:
+            with monkeypatch.context() as patch:
+                patch.setattr(socket, "socket", Standstill)
+                called_off = begin(server.getsockname(), LIMIT)
+                asyncio.get_running_loop().call_later(STANDSTILL / 2, called_off.cancel)  # due within it
+                with pytest.raises(asyncio.CancelledError):
+                    await called_off
+            fill = [socket.socket() for _ in range(4)]  # the system takes no more for this listener
+            for sock in fill:
+                sock.setblocking(False)
+                sock.connect_ex(server.getsockname())
+            with pytest.raises(TimeoutError):
+                await begin(server.getsockname(), LIMIT)
+            for sock in fill:
+                sock.close()
+
+    on_loop(scenario)
