An attempt whose time is up is given up behind one more read

Seen: loops run timers before they look at sockets. Behind a standstill of the front the time-out of an attempt fired first: its answer, which lay in the socket, was dropped as late, and where nothing had been heard since the command the connection counted as silent, was closed and dialled anew. Checked: with the answer sent and the timer's callback run before the loop's next look the attempt ends TIMEOUT. Ruled out: the module's look for overdue attempts, which blames nobody after a standstill. At fault: CacheActor._send, whose timer called _give_up itself. Change: the timer wakes the connection's reader and has the attempt given up in the next turn of the loop, behind what that read brought; nothing there: given up after that one turn. Measured: without it two cases fail with "assert <Ending.TIMEOUT: 'timeout'> is <Ending.OK: 'ok'>", with it they pass; the third (nothing there) holds the turn.

--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -75,7 +75,7 @@
             return
         self.out[what] = id, connection
         loop = asyncio.get_running_loop()
-        self.timers[what] = loop.call_later(timeout / clock.SECOND, self._give_up, what, Ending.TIMEOUT)
+        self.timers[what] = loop.call_later(timeout / clock.SECOND, self._timed_out, what)
         connection.send(id, what, command)
 
     def broken(
@@ -151,6 +151,14 @@
             self.out[what] = id, connection
             connection.send(id, what, command)
 
+    def _timed_out(self, what: OpenAttempt | Probe) -> None:
+        """In the next turn of the loop, behind one more read.
+
+        After a standstill of the front time is up before the loop has looked at the sockets.
+        """
+        self.out[what][1].read_on()
+        asyncio.get_running_loop().call_soon(self._give_up, what, Ending.TIMEOUT)
+
     def _give_up(self, what: OpenAttempt | Probe, ending: Ending) -> None:
         if what in self.out:
             id, connection = self.out[what]
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -293,6 +293,10 @@
             loop.add_reader(sock, self._rung, loop, sock)
         await self.ready
 
+    def read_on(self) -> None:
+        """In this turn of the loop, whether it has told that there is something to read or not."""
+        _ring(self.ready)
+
     def _rung(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
         if not _ring(self.ready):  # nobody waits for it now; it would ring in each turn
             self.reading = False
--- a/tests/test_crossings_standstill.py
+++ b/tests/test_crossings_standstill.py
@@ -7,20 +7,25 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
+from typing import Any
 
 import pytest
 
 from quincepier.addresses import parse
+from quincepier.interface import Ending
 from quincepier.memory.pool import Body
+from quincepier.memory.requests import OpenAttempt
 from quincepier.net import sockets
 from quincepier.net.dialer import dial
 from quincepier.net.messages import Answer, Came
-from tests.attemptkit import on_loop
+from tests.attemptkit import Inside, on_loop
 from tests.fcgikit import call, params
 from tests.standins import until
 from tests.test_idle import Peer, make_manager
 
 LARGE = os.urandom(480_000)
+ONE = ("s-1", "o-1")
 TURNS = 8  # of the loop, more than any close takes
 LIMIT, STANDSTILL = 0.1, 0.25  # seconds: allowed to a dial, and without CPU
 
@@ -128,3 +133,41 @@
                 sock.close()
 
     on_loop(scenario)
+
+
+@pytest.mark.parametrize("size", [5, 48_000, None])
+def test_an_answer_that_is_there_as_its_time_is_up_counts(size: int | None) -> None:
+    """Loops run timers before they look at sockets: behind a standstill both are due at once."""
+
+    async def scenario() -> None:
+        loop, timers = asyncio.get_running_loop(), list[Callable[[], object]]()
+        plain = loop.call_later
+
+        def call_later(
+            delay: float, callback: Callable[..., object], *args: Any, **rest: Any
+        ) -> asyncio.TimerHandle:
+            if args and isinstance(args[0], OpenAttempt):
+                timers.append(partial(callback, *args))
+            return plain(delay, callback, *args, **rest)
+
+        loop.call_later = call_later  # type: ignore[assignment]
+        inside = Inside(ONE)
+        request = inside.ask()
+        wire = await inside.out(request)
+        cache = inside.cache("s-1")
+        (attempt,), (connection,), (time_is_up,) = cache.out, cache.connections, timers
+        if size is not None:
+            wire.answer(request.job, b"b" * size)
+        time_is_up()  # the loop has not looked since
+        await asyncio.sleep(0)
+        assert attempt not in cache.out, "its end waits for no more than a turn"
+        await until(lambda: bool(inside.endings(request)), "the module hears")
+        assert inside.endings(request)[0] is (Ending.TIMEOUT if size is None else Ending.OK)
+        if size is not None:
+            assert await inside.status(request) == 200 and not inside.cancels(request)
+            assert not inside.checks.counts["late or second answers dropped"]
+            assert cache.connections == [connection] and not connection.doubtful
+        inside.left(request)
+        await inside.settled()
+
+    on_loop(scenario)
