--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -127,7 +127,7 @@
                 self._forget(request)
                 manager.module.push(Left(request))
         if self.writer is not None:
-            # the socket closes behind it, also where it was made in this turn and has not run at all
+            # The socket closes behind it, once the loop has let go of it; a task that never began ends too.
             self.writer.add_done_callback(lambda _: self._shut())
             self.writer.cancel()
         else:
