--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -117,6 +117,36 @@
     on_loop(scenario)
 
 
+def test_who_sends_row_after_row_gets_few_buffers_of_it_read_before_others_have_their_turn() -> None:
+    """Else a few that flood keep usual requests waiting for longer than these can wait."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        floods, usual = [Peer(manager) for _ in range(4)], Peer(manager)
+        rows = b"".join(call(n, params(f"{n:016x}")) for n in range(1, 300))  # no more than 32 may be open
+        for flood in floods:
+            flood.sock.send(rows)
+        usual.sock.send(PING)
+        read, before, plain = dict.fromkeys(floods, 0), list[int](), ClientConnection._received
+
+        def received(self: ClientConnection, size: int) -> None:
+            for flood in floods:
+                read[flood] += size * (flood.connection is self)
+            if self is usual.connection:
+                before.append(max(read.values()))
+            plain(self, size)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(ClientConnection, "_received", received)
+            await until(lambda: usual.connection.asked, "the usual one is read")
+        # who came first in this turn stands before the others in the next
+        assert before[0] <= 2 * len(manager.scratch) < len(rows)
+        for peer in (*floods, usual):
+            peer.connection.close()
+
+    on_loop(scenario)
+
+
 def test_who_is_at_work_is_served_before_a_crowd_that_wakes() -> None:
     async def scenario() -> None:
         manager = make_manager()
@@ -279,6 +309,28 @@
     on_loop(scenario)
 
 
+def test_a_large_answer_that_is_there_first_takes_turns_with_small_ones() -> None:
+    async def scenario() -> None:
+        manager = make_manager()
+        manager.pool.most = 1000
+        peer, sizes = Peer(manager), {1: 240_000, 2: 5, 3: 70_000, 4: 5}
+        peer.sock.send(b"".join(call(n, params(f"{n:016x}")) for n in sizes))
+        await until(lambda: len(manager.module.last) == 4, "all are asked")
+        while (message := manager.module.take()) is not None:  # all in one turn, the largest first
+            assert isinstance(message, Came)
+            size = sizes[message.request.stream]
+            body = Body.of_length(manager.pool, size)
+            assert body is not None
+            body.append(bytes(size))
+            message.request.owner.push(Answer(message.request, 200, body))
+        await until(lambda: all(peer.answered(n) for n in sizes), "all are answered")
+        assert peer.reader.order == [2, 4, 3, 1]
+        assert [len(peer.reader.got[n].body) for n in sizes] == [*sizes.values()]
+        peer.connection.close()
+
+    on_loop(scenario)
+
+
 def test_at_the_limit_a_crowd_of_one_network_does_not_push_out_another() -> None:
     async def scenario() -> None:
         section = ClientsSection(each=0, rest_least_ms=0, slack=1)
