--- /dev/null
+++ b/tests/test_crossings_page.py
@@ -0,0 +1,51 @@
+"""docs/crossings.md: each row names a test that is there, or says that it is a gap."""
+
+from __future__ import annotations
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "crossings.md"
+NAMED = re.compile(r"`(tests/\w+\.py)(?:::(\w+)(?:\[[^`]*\])?)?`")
+HEAD = ("what crosses", "what holds", "test")
+
+
+def rows(text: str) -> list[list[str]]:
+    lines = [line for line in text.splitlines() if line.startswith("|") and not line.startswith("| ---")]
+    cells = [[cell.strip() for cell in line.strip("|").split(" | ")] for line in lines]
+    return [row for row in cells if tuple(cell.strip("| ") for cell in row) != HEAD]
+
+
+def tests(file: str) -> set[str]:
+    tree = ast.parse((ROOT / file).read_text())
+    return {node.name for node in ast.walk(tree) if isinstance(node, ast.FunctionDef | ast.AsyncFunctionDef)}
+
+
+def faults(text: str) -> list[str]:
+    found = []
+    for row in rows(text):
+        line = " | ".join(row)
+        named = NAMED.findall(line)
+        if not named and not any(cell.startswith("gap: ") for cell in row):
+            found.append(f"neither a test nor a gap: {row[0]}")
+        for file, name in named:
+            if not (ROOT / file).is_file() or (name and name not in tests(file)):
+                found.append(f"no such test: {file}::{name}")
+    return found
+
+
+def test_each_row_has_a_test_or_is_a_gap() -> None:
+    text = PAGE.read_text()
+    assert len(rows(text)) > 60
+    assert faults(text) == []
+
+
+@pytest.mark.parametrize(
+    "test", ["", "a gap", "`tests/test_none.py::test_x`", "`tests/test_idle.py::test_x`"]
+)
+def test_a_row_without_its_test_is_found(test: str) -> None:
+    assert len(faults(f"| a | b | {test} |")) == 1
