News that lie in the socket as a poll's time is up are taken

Seen: behind a standstill of the front the poll's time-out cancelled a read that had just been done, or that the loop had not got to yet: the answer was lost, the connection closed, "change log lost" counted, and the log asked again for the same events. Checked: in virtual time, an answer written and the clock then set past the poll's end in the same turn. Ruled out: the log (its answer is whole in the socket) and the back-off (the first failure has none). At fault: Watch._poll, where asyncio.timeout cancels sock_recv_into, which may hold bytes by then. Change: the timer ends the wait for readability alone and the read is a call of its own, so nothing read is lost; past the time what lies in the socket is read, 64 buffers at most, and the first empty read ends the poll. Measured: without it the case of a whole answer fails with "assert (1, 2) == (2, 1)" (asked again for the same, over a new connection), with it it passes; half an answer and none are lost as before.

--- a/quincepier/net/watch.py
+++ b/quincepier/net/watch.py
@@ -24,6 +24,7 @@
 # Seconds from one try to the next: none at the first failure, then doubled at each in a row. After an outage
 # of eight seconds, what came at its start has counted as told for one, and a drain's grace is two.
 BACK_OFF, BACK_OFF_MOST = 0.05, 0.75
+LATE_READS = 64  # past the time, of what lay in the socket as a standstill of the front ended
 ANSWER_MOST = 8 * 1024 * 1024
 # A front serves once it has heard what the log had as it started: an answer, or so much silence after the
 # call, as the log answers at once where there is news. Without the log it serves after the second of these.
@@ -139,19 +140,27 @@
         host, port = self.means.config.changelog
         ask = f"GET /changes?since={self.last}&timeout={self.wait_ms} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         response, view = Response(), memoryview(self.buffers[0])
-        async with asyncio.timeout(POLL_MS / 1000 + POLL_GRACE):
+        until, late = loop.time() + POLL_MS / 1000 + POLL_GRACE, 0
+        async with asyncio.timeout_at(until):
             await loop.sock_sendall(self.sock, ask.encode())
-            quiet = loop.call_later(QUIET, self.current.set)
-            try:
-                while not response.whole:
-                    size = await loop.sock_recv_into(self.sock, view)
-                    if size == 0:
-                        raise ConnectionResetError("the connection ends inside an answer")
+        quiet = loop.call_later(QUIET, self.current.set)
+        try:
+            while not response.whole:
+                late += not await self._readable(self.sock, until)
+                try:
+                    size = self.sock.recv_into(view)
+                except BlockingIOError:
+                    size = -1
+                if late > LATE_READS or (late and size < 0):
+                    raise TimeoutError
+                if size == 0:
+                    raise ConnectionResetError("the connection ends inside an answer")
+                if size > 0:
                     self.resting = False
                     quiet.cancel()  # what has begun is waited for, and so is the next poll if this one fails
                     response.parser.feed_data(view[:size])
-            finally:
-                quiet.cancel()
+        finally:
+            quiet.cancel()
         if response.status != 200:
             raise ProtocolError(f"an answer of status {response.status}")
         self.wait_ms = POLL_MS
@@ -159,6 +168,19 @@
             self._close()
         return bytes(response.body)
 
+    async def _readable(self, sock: socket.socket, until: float) -> bool:
+        """Wait until there is something to read; False once it is that time of the loop."""
+        loop, ready = asyncio.get_running_loop(), asyncio.Event()
+        loop.add_reader(sock, ready.set)
+        try:
+            async with asyncio.timeout_at(until):
+                await ready.wait()
+        except TimeoutError:
+            return False
+        finally:
+            loop.remove_reader(sock)
+        return True
+
     def _take(self, last: int, events: tuple[ChangeEvent, ...]) -> None:
         """Pass on what is new, once, in order; at a gap or a bad record ask again, a few times."""
         for event in events:
--- a/tests/test_crossings_standstill.py
+++ b/tests/test_crossings_standstill.py
@@ -19,10 +19,13 @@
 from quincepier.net import sockets
 from quincepier.net.dialer import dial
 from quincepier.net.messages import Answer, Came
+from quincepier.net.watch import POLL_GRACE, POLL_MS
 from tests.attemptkit import Inside, on_loop
 from tests.fcgikit import call, params
 from tests.standins import until
 from tests.test_idle import Peer, make_manager
+from tests.virtual import VirtualLoop
+from tests.watchkit import Rig, body, http, play
 
 LARGE = os.urandom(480_000)
 ONE = ("s-1", "o-1")
@@ -51,9 +54,9 @@
         await until(lambda: bool(manager.module.last), "it is asked")
         message = manager.module.take()
         assert isinstance(message, Came)
-        body = Body.of_length(manager.pool, len(LARGE))
-        assert body is not None
-        body.append(LARGE)
+        large = Body.of_length(manager.pool, len(LARGE))
+        assert large is not None
+        large.append(LARGE)
         seen = list[bool]()
 
         def cross() -> None:
@@ -62,7 +65,7 @@
             act(peer.sock)
             connection.receive()
 
-        message.request.owner.push(Answer(message.request, 200, body))
+        message.request.owner.push(Answer(message.request, 200, large))
         asyncio.get_running_loop().call_soon(cross)
         await until(lambda: connection.closed, "its end is read")
         assert seen == [True]
@@ -171,3 +174,24 @@
         await inside.settled()
 
     on_loop(scenario)
+
+
+@pytest.mark.parametrize("there", ["all", "half", "nothing"])
+def test_news_that_lie_in_the_socket_as_the_time_of_the_poll_is_up_are_taken(
+    monkeypatch: pytest.MonkeyPatch, there: str
+) -> None:
+    async def story(rig: Rig) -> None:
+        ask, answer = await rig.log.asked(1), http(body(2))
+        if there != "nothing":
+            ask.writer.write(answer if there == "all" else answer[:40])
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        loop.jumping.ahead += 2 * (POLL_MS / 1000 + POLL_GRACE)  # the front stands still
+        again = await rig.log.asked(2)
+        lost = there != "all"
+        assert (again.since, again.connection) == ((1, 2) if lost else (2, 1))
+        assert rig.checks.counts["change log lost"] == lost
+        again.tell(*range(again.since + 1, 4))
+        await rig.told(2, 3)
+
+    play(monkeypatch, story)
