A test that a write's error takes no whole answer along

Looked for: a cache answers and resets while the front writes; the write meets the reset first and ends the connection before the reader has looked (Connection.run, FIRST_COMPLETED). Seen: it holds, as the reader has three turns before it is ended, so nothing is changed. The test puts answer and reset right before the write, in its turn of the loop.

--- a/tests/test_crossings_standstill.py
+++ b/tests/test_crossings_standstill.py
@@ -20,7 +20,8 @@
 from quincepier.net.dialer import dial
 from quincepier.net.messages import Answer, Came
 from quincepier.net.watch import POLL_GRACE, POLL_MS
-from tests.attemptkit import Inside, on_loop
+from quincepier.wire import lines
+from tests.attemptkit import Inside, answer, on_loop
 from tests.fcgikit import call, params
 from tests.standins import until
 from tests.test_idle import Peer, make_manager
@@ -181,9 +182,9 @@
     monkeypatch: pytest.MonkeyPatch, there: str
 ) -> None:
     async def story(rig: Rig) -> None:
-        ask, answer = await rig.log.asked(1), http(body(2))
+        ask, news = await rig.log.asked(1), http(body(2))
         if there != "nothing":
-            ask.writer.write(answer if there == "all" else answer[:40])
+            ask.writer.write(news if there == "all" else news[:40])
         loop = asyncio.get_running_loop()
         assert isinstance(loop, VirtualLoop)
         loop.jumping.ahead += 2 * (POLL_MS / 1000 + POLL_GRACE)  # the front stands still
@@ -195,3 +196,31 @@
         await rig.told(2, 3)
 
     play(monkeypatch, story)
+
+
+@pytest.mark.parametrize("size", [5, 100_000])
+def test_an_answer_that_is_there_whole_counts_though_a_write_meets_the_reset_behind_it_first(
+    size: int,
+) -> None:
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        request = inside.ask()
+        wire = await inside.out(request)
+        (connection,) = inside.cache("s-1").connections
+        assert connection.sock is not None
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * size + 4096)
+        text = answer(request.job, b"b" * size)
+        there = list[int]()
+
+        def cross(sock: socket.socket) -> None:
+            wire.say(text)
+            wire.reset()
+            there.append(len(sock.recv(2 * size + 4096, socket.MSG_PEEK)))
+
+        asyncio.get_running_loop().call_soon(cross, connection.sock)
+        connection.write(None, lines.cancel("f" * 16))  # goes out right behind it, in the same turn
+        assert await inside.status(request) == 200
+        assert inside.endings(request) == [Ending.OK] and there == [len(text)]
+        await inside.settled()
+
+    on_loop(scenario)
