A link as quick as usual is not full; one a third slower may be

At fault: Fills.full, where the pace at which a link counts as full was at least PACE_EASY (1.3). Change: at least 1.

--- a/quincepier/policy/fills.py
+++ b/quincepier/policy/fills.py
@@ -6,7 +6,7 @@
 
 from quincepier.interface import AttemptEnded, Ending, Log, Note
 from quincepier.policy.attempts import Attempts
-from quincepier.policy.parts import HOLD, MS, PACE_EASY, SECOND, Attempt, Request
+from quincepier.policy.parts import HOLD, MS, SECOND, Attempt, Request
 
 TIER_WEIGHTS = (80.0, 15.0, 5.0)  # the design's shares of releases, highest tier first
 BOOST_EVERY, FLOOR_EVERY = 10, SECOND  # held for one object that add one; a tier's floor (design)
@@ -37,9 +37,9 @@
 
     def full(self, req: Request) -> bool:  # for the bound or the zone's link
         link, part = self.link * math.exp2((self.link_at - self.now) / LINK_FADE), 1.0
-        if self.now - self.link_at > 2 * LINK_FADE:  # all see it
+        if self.now - self.link_at > 2 * LINK_FADE:  # all see it; one as quick as usual is not full
             link, part = self.fetch.times(self.now), LINK_PART + (1 - LINK_PART) / self.mates
-        return self.fills >= self.bound or link > max(part * self.aim(req) / self.work_of(req), PACE_EASY)
+        return self.fills >= self.bound or link > max(part * self.aim(req) / self.work_of(req), 1)
 
     def hold(self, req: Request) -> None:
         self.held[req.tier].setdefault(req.key, deque()).append(req)
