--- a/tests/test_consistency.py
+++ b/tests/test_consistency.py
@@ -38,7 +38,7 @@
 from quincepier.keys import mix
 from quincepier.lab.alike import AlikeNet, Front, listed, other_floats, other_seed
 from quincepier.lab.experiment import load
-from quincepier.lab.world import Front as WorldFront
+from quincepier.lab.front import Front as WorldFront
 from quincepier.lab.world import World as LabWorld
 from quincepier.policy import Router
 from quincepier.rules import Order, OrderStep, RuleVersion
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -138,7 +138,7 @@
 def test_a_module_that_repeats_bids_is_found_by_the_judge(monkeypatch: pytest.MonkeyPatch) -> None:
     experiment = small("{at: 2, kind: slow, tier: 2, part: 1, size: 60, lasts: 4}")
     assert play(experiment, "as it is", 1).figures.broken == 0
-    monkeypatch.setattr("quincepier.lab.world.Router", Careless)
+    monkeypatch.setattr("quincepier.lab.front.Router", Careless)
     world = World(experiment, Variant("as it is"), 1)
     for front in world.fronts:  # each attempt is given a short time, so that it is asked for again
         send = front._send
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -10,9 +10,10 @@
 
 from quincepier.keys import mix
 from quincepier.lab.experiment import SECOND, Experiment, Variant
+from quincepier.lab.front import Front
+from quincepier.lab.front import Request as Try
 from quincepier.lab.tally import START
-from quincepier.lab.world import Front, World
-from quincepier.lab.world import Request as Try
+from quincepier.lab.world import World
 from quincepier.operator.reading import read_struct
 from quincepier.policy import Request, Router
 from tests.rig import MS, Bench, attempts, make_class, make_settings
