Client connections: what ends one in reading and in writing is one place

Need: Reading.receive and Writing._flush had the same endings written twice. Change: Writing._break_off names the cause and closes, for both; the writing side names a break of FastCGI too, which it can't meet.

--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -11,7 +11,6 @@
 from quincepier.net.writing import Writing
 from quincepier.translate import PING, BadRequest, open_request
 from quincepier.wire import fastcgi
-from quincepier.wire.errors import ProtocolError
 
 WHOLE_WITHIN = 2.0  # seconds that one message may take
 ROW = 4  # reads of one connection in a row
@@ -65,15 +64,8 @@
                 self.manager.read_on(self.itself)
         except (BlockingIOError, InterruptedError):
             self.queued_at = 0
-        except ProtocolError as error:
-            self.manager.checks.event("client breaks FastCGI", str(error))
-            self.close()
-        except OSError:
-            self.manager.checks.count("client connections broken off")
-            self.close()
         except Exception as error:
-            self.manager.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
-            self.close()
+            self._break_off(error)
 
     def _received(self, size: int) -> None:
         now, faults, manager = clock.now(), self.faults, self.manager
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -17,6 +17,7 @@
 from quincepier.net.session import Outgoing, Session, cgi_head
 from quincepier.timers import Timer
 from quincepier.wire import fastcgi
+from quincepier.wire.errors import ProtocolError
 
 if TYPE_CHECKING:  # the manager makes the connections
     from quincepier.net.client import ClientConnection
@@ -103,12 +104,18 @@
         self.stirred = False
         try:
             self._put_out()
-        except OSError:
-            self.manager.checks.count("client connections broken off")
-            self.close()
         except Exception as error:
+            self._break_off(error)
+
+    def _break_off(self, error: Exception) -> None:
+        """What goes wrong ends this connection alone: by its client, the network, or a fault of ours."""
+        if isinstance(error, ProtocolError):
+            self.manager.checks.event("client breaks FastCGI", str(error))
+        elif isinstance(error, OSError):
+            self.manager.checks.count("client connections broken off")
+        else:
             self.manager.checks.event("exception in the client actor", f"{type(error).__name__}: {error}")
-            self.close()
+        self.close()
 
     def _put_out(self) -> None:
         """The first bytes go by the call that sock_sendall makes first itself; a task takes what is left."""
