What waits for a dial does not go over a connection whose address rests

Without it the new test fails with 'assert <Wire> is not <Wire>'; with it tests/test_crossings_dials.py: 7 passed, once.

--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -142,7 +142,7 @@
         """
         self.connections.remove(connection)
         self.connections.append(connection)
-        if not connection.idle or connection.doubtful:
+        if not connection.idle or connection.doubtful or self._rests(connection):
             return
         dials = [c for c in self.connections if c.sock is None and not c.lost]
         waits = next((w for c in dials if (w := c.take_waiting(connection)) is not None), None)
--- a/tests/test_crossings_dials.py
+++ b/tests/test_crossings_dials.py
@@ -5,6 +5,7 @@
 import pytest
 
 from quincepier.interface import Ending, Note
+from quincepier.net.cache import CacheActor
 from tests.attemptkit import Dials, Inside, on_loop
 from tests.rig import MS, Bench, attempts
 from tests.standins import until
@@ -84,6 +85,28 @@
     on_loop(scenario)
 
 
+def test_what_waits_stays_where_the_address_of_the_free_connection_rests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        first = inside.ask()
+        wire = await inside.out(first)
+        dials = Dials(monkeypatch)
+        second = inside.ask()
+        await dials.begun()
+        monkeypatch.setattr(CacheActor, "_rests", lambda self, connection: True)
+        wire.answer(first.job)
+        assert await inside.status(first) == 200
+        dials.let()
+        assert await inside.out(second) is not wire
+        inside.told[second.job][0].answer(second.job)
+        assert await inside.status(second) == 200
+        await inside.settled()
+
+    on_loop(scenario)
+
+
 @pytest.mark.parametrize("answers", [False, True])
 def test_a_dial_not_up_in_time_says_nothing_of_a_machine_that_answered_meanwhile(answers: bool) -> None:
     bench = Bench()
