--- a/tests/test_crossings_dials.py
+++ b/tests/test_crossings_dials.py
@@ -5,22 +5,28 @@
 import pytest
 
 from quincepier.interface import Ending, Note
+from quincepier.memory.requests import OpenRequest
 from quincepier.net.cache import CacheActor
-from tests.attemptkit import Dials, Inside, on_loop
+from tests.attemptkit import Dials, Inside, Wire, on_loop
 from tests.rig import MS, Bench, attempts
 from tests.standins import until
 
 ONE = ("s-1", "o-1")
 
 
+async def one_out(patch: pytest.MonkeyPatch) -> tuple[Inside, OpenRequest, Wire, Dials]:
+    """One request is out over the one connection that is up; whatever is dialled from now on is held."""
+    inside = Inside(ONE)
+    first = inside.ask()
+    wire = await inside.out(first)
+    return inside, first, wire, Dials(patch)
+
+
 def test_what_waits_for_a_dial_goes_over_the_connection_that_is_free_first(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        inside = Inside(ONE)
-        first = inside.ask()
-        wire = await inside.out(first)
-        dials = Dials(monkeypatch)
+        inside, first, wire, dials = await one_out(monkeypatch)
         second, third = inside.ask(), inside.ask()
         await dials.begun(2)
         wire.answer(first.job)
@@ -43,10 +49,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        inside = Inside(ONE)
-        first = inside.ask()
-        wire = await inside.out(first)
-        dials = Dials(monkeypatch)
+        inside, first, wire, dials = await one_out(monkeypatch)
         second = inside.ask()
         await dials.begun()
         wire.answer(first.job)
@@ -66,10 +69,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        inside = Inside(ONE)
-        first = inside.ask()
-        wire = await inside.out(first)
-        dials = Dials(monkeypatch)
+        inside, first, wire, dials = await one_out(monkeypatch)
         second = inside.ask()
         await dials.begun()
         (up,) = (c for c in inside.connections() if c.sock is not None)
@@ -89,10 +89,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        inside = Inside(ONE)
-        first = inside.ask()
-        wire = await inside.out(first)
-        dials = Dials(monkeypatch)
+        inside, first, wire, dials = await one_out(monkeypatch)
         second = inside.ask()
         await dials.begun()
         monkeypatch.setattr(CacheActor, "_rests", lambda self, connection: True)
