--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,68 @@
+"""The machine's wall clock is stepped under a serving front; its monotonic clock runs on."""
+
+from __future__ import annotations
+
+import re
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from quincepier import clock
+from quincepier import interface as io
+from quincepier.wire.changelog import read_changes
+from tests.attemptkit import IMAGE, Inside, on_loop
+
+ONE = ("s-1", "p-1", "o-1")
+HOUR = 3600 * clock.SECOND
+STEPS = (0, HOUR, -HOUR)
+
+
+class SteppedClock:
+    """The clocks of the front's machine: the world's, moved on and stepped as the test says."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.passed = self.step = 0
+        monkeypatch.setattr(
+            clock,
+            "time",
+            SimpleNamespace(
+                monotonic_ns=lambda: time.monotonic_ns() + self.passed,
+                time_ns=lambda: time.time_ns() + self.passed + self.step,
+            ),
+        )
+
+    def world_ms(self) -> int:
+        """The Unix millisecond of everybody else."""
+        return (time.time_ns() + self.passed) // clock.MS
+
+
+def read_log(inside: Inside, **record: Any) -> None:
+    """One event of the change log, as its watch passes it on."""
+    inside.seq += 1
+    (event,) = read_changes({"seq": inside.seq, "results": [{"seq": inside.seq} | record]})[1]
+    inside.module._news(event, io.UpdateScope.CHANGES)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_no_copy_from_before_a_purge_is_asked_for(monkeypatch: pytest.MonkeyPatch, step: int) -> None:
+    clocks = SteppedClock(monkeypatch)
+
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        await inside.served()
+        clocks.step = step
+        purged_at = clock.now()
+        read_log(inside, invalidate={"bucket": 17, "time": clocks.world_ms()})
+        clocks.passed += clock.SECOND
+        request = inside.ask(IMAGE)
+        wire = await inside.out(request)
+        found = re.search(rf"serve {request.job_id} \S*fresh=(\d+)", wire.text.decode())
+        assert found is not None, "an age is named"
+        assert int(found[1]) <= (clock.now() - purged_at) / clock.MS
+        wire.answer(request.job_id)
+        assert await inside.status(request) == 200
+        await inside.settled()
+
+    on_loop(scenario)
