Failing tests: accept, connect and read that fail for a moment; a front with such calls

tests/faulty_front.py runs the front as a process whose system calls fail and whose wall clock is stepped, as drawn from a seed.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -212,6 +212,7 @@
     root: Path | None = None  # of the checkout that is run, where not this one
     optimized: bool = False  # as it is run in service
     fault: str = ""  # of tests/mutants.py, with which it is run
+    plan: str = ""  # of tests/faulty_front.py: what fails around it
     reading: asyncio.Task[None] | None = None
 
     async def start(self, wait: bool = True, **changes: Any) -> None:
@@ -245,6 +246,8 @@
 
     @property
     def program(self) -> tuple[str, ...]:
+        if self.plan:
+            return ("tests.faulty_front", self.plan, "serve")
         return ("tests.mutants", self.fault) if self.fault else ("quincepier", "serve")
 
     @property
@@ -291,11 +294,13 @@
     caches: dict[str, Behaviour],
     scenario: Callable[[Front], Awaitable[None]],
     fault: str = "",
+    plan: str = "",
 ) -> None:
     """Start the front over such caches, play the scenario, end what was started."""
 
     async def run() -> None:
         front = Front(folder, {name: Cache(behaviour) for name, behaviour in caches.items()}, fault=fault)
+        front.plan = plan
         try:
             await front.start()
             await scenario(front)
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,135 @@
+"""System calls that fail for a moment, in the ways that Linux documents, and what they must not cost."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+
+from quincepier.interface import AttemptOutcome
+from tests.attemptkit import BID, IMAGE, Inside, on_loop
+from tests.faulty_front import Plan, Rule
+from tests.standins import Asked, Client, Front, play, until
+
+ONE = ("s-1", "o-1")
+COMERS = 10
+
+
+def hit(asked: Asked) -> None:
+    asked.data()
+
+
+@pytest.mark.fleet(5)
+@pytest.mark.parametrize("error", ["ENFILE"])
+def test_who_waits_as_accept_fails_and_the_listener_ends_is_answered(tmp_path: Path, error: str) -> None:
+    """Ten clients come 0.3 s after SIGTERM; accept fails until 0.9 s, the listener stops at 0.75 s."""
+    plan = Plan(rules=(Rule("accept", (error,), begin=0.25, end=0.9, since="term"),))
+
+    async def scenario(front: Front) -> None:
+        first = await front.client()
+        first.ask(1)
+        assert (await first.ended(1)).status == 200
+        front.signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        comers: list[Client] = []
+        for n in range(COMERS):
+            comers.append(await front.client())
+            comers[-1].ask(10 + n)
+        got = [await comer.ended(10 + n) for n, comer in enumerate(comers)]
+        assert {one.status for one in got} <= {200, 503}
+        assert await front.code() == 0, front.lines
+
+    play(tmp_path, {"s-1": hit, "p-1": hit, "o-1": hit}, scenario, plan=plan.text())
+
+
+class Breaking(socket.socket):
+    """Takes no byte while `takes_nothing`; a read ends with `error` where there is one."""
+
+    takes_nothing, error = False, 0
+
+    def send(self, data: object, flags: int = 0) -> int:
+        if Breaking.takes_nothing:
+            raise BlockingIOError
+        return super().send(data, flags)  # type: ignore[arg-type]
+
+    def recv_into(self, *args: object, **more: object) -> int:
+        if Breaking.error:
+            raise OSError(Breaking.error, "as the test says")
+        return super().recv_into(*args, **more)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("number", [errno.ETIMEDOUT])
+def test_a_connection_long_up_that_ends_with_an_error_says_nothing_of_connects(
+    monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    monkeypatch.setattr(socket, "socket", Breaking)
+
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        wire = await inside.served(BID)
+        cache = inside.cache("o-1")
+        at_once = cache.ramp.most
+        assert at_once > cache.ramp.first
+        monkeypatch.setattr(Breaking, "takes_nothing", True)
+        request = inside.ask(BID)
+        await until(lambda: any(c.outgoing for c in inside.connections()), "it waits for its socket")
+        monkeypatch.setattr(Breaking, "error", number)
+        os.write(wire.sock.fileno(), b"x")  # there is something to read
+        await until(lambda: bool(inside.endings(request)), "it ends")
+        monkeypatch.setattr(Breaking, "error", 0)
+        monkeypatch.setattr(Breaking, "takes_nothing", False)
+        assert inside.endings(request)[0] is AttemptOutcome.NOT_PROCESSED
+        assert cache.ramp.most >= at_once
+        again = await inside.out(request)
+        again.answer(request.job_id)
+        assert await inside.status(request) == 200
+        await inside.settled()
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("number", [errno.ENFILE])
+@pytest.mark.parametrize("call", ["socket"])
+def test_a_connect_that_fails_for_want_of_the_fronts_own_is_tried_again_after_a_pause(
+    monkeypatch: pytest.MonkeyPatch, call: str, number: int
+) -> None:
+    tries: list[float] = []
+    fails = True
+
+    class Failing(socket.socket):
+        def __init__(self, *args: object, **more: object) -> None:
+            if call == "socket" and "fileno" not in more:
+                self.try_one()
+            super().__init__(*args, **more)  # type: ignore[arg-type]
+
+        def connect(self, address: object) -> None:
+            if call == "connect":
+                self.try_one()
+            super().connect(address)  # type: ignore[arg-type]
+
+        def try_one(self) -> None:
+            tries.append(asyncio.get_running_loop().time())
+            if fails:
+                raise OSError(number, "as the test says")
+
+    async def scenario() -> None:
+        nonlocal fails
+        inside = Inside(ONE)
+        monkeypatch.setattr(socket, "socket", Failing)
+        request = inside.ask(IMAGE)
+        await asyncio.sleep(0.1)
+        assert 2 <= len(tries) <= 20, "with pauses"
+        assert not inside.endings(request), "no attempt is used up"
+        fails = False
+        wire = await inside.out(request)
+        wire.answer(request.job_id)
+        assert await inside.status(request) == 200
+        monkeypatch.undo()
+        await inside.settled()
+
+    on_loop(scenario)
