Accept, connect and reads that fail for a moment cost nobody an answer or an attempt

Cause: Listener.stop closed its socket at the first accept that failed, which resets whom the system had let in; a broken connection that shows as ETIMEDOUT was caught as the time-out of a connect; a connect that failed with ENFILE and the like ended its attempts at once, four in one turn.

Change: the listener stays open until an accept finds nobody, up to the drain's end, and EINTR is not taken for nobody; a connection tells connecting from what comes after; connects that fail for want of the front's own are tried again with pauses of 10 to 160 ms within their time; EHOSTUNREACH of a connect says that the machine is not there; TCP_NODELAY that can't be set ends no connection.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -91,7 +91,7 @@
             await self.peers.leave()
         if serves:
             await self._drain(listener)
-        listener.stop()
+        listener.close()
         await self.manager.close_all()
         signals.ignore()
         if self.fleet is not None:
@@ -153,10 +153,10 @@
             await asyncio.sleep(TICK / 5)
             spent = (clock.now() - began) / clock.SECOND
             if spent >= DRAIN_LEAST:
-                listener.stop()
+                all_taken = listener.stop()
                 self.manager.refusing = spent >= most - DRAIN_REFUSES
                 self.manager.drain()
-                if self._quiet() or spent >= most:
+                if (all_taken and self._quiet()) or spent >= most:
                     break
         self.manager.refusing = True  # nothing is taken any more that would be answered by nobody
         if not self._quiet():
--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -99,7 +99,12 @@
         self.descriptors.client(1)
         self.lingering.make_room()
         self.connections.add(connection)
-        connection.start()
+        try:
+            connection.start()
+        except OSError as error:  # it can't be watched
+            self.checks.event("new_client_closed_watch_failed", str(error))
+            connection.close(linger=True)
+            return None
         return connection
 
     def _network(self, host: str) -> tuple[Hashable, int, int]:
@@ -166,8 +171,8 @@
         if self.epoll is None:
             self.epoll = select.epoll()
             asyncio.get_running_loop().add_reader(self.epoll.fileno(), self._rung)
-        self.by_fd[connection.sock.fileno()] = connection
         self.epoll.register(connection.sock, select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET)
+        self.by_fd[connection.sock.fileno()] = connection
 
     def unwatch(self, connection: ClientConnection) -> None:
         if self.epoll is not None and self.by_fd.pop(connection.sock.fileno(), None) is not None:
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
@@ -11,7 +12,7 @@
 from quincepier.interface import AttemptOutcome
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenAttempt
-from quincepier.net.sockets import NO_BUFFER_PAUSE, ConnectFailedError, connect
+from quincepier.net.sockets import LOCAL_ERRORS, NO_BUFFER_PAUSE, ConnectFailedError, connect
 from quincepier.policy.send_permission import Denial, find_denial, wait_ms
 from quincepier.wire import lines
 from quincepier.wire.errors import ProtocolError
@@ -23,6 +24,7 @@
 
 READS = 8  # in a row
 GHOSTS_MOST = 256  # ids that were out on one connection; none of them goes out there again
+UNREACHABLE_ERRORS = frozenset((errno.EHOSTUNREACH, errno.EHOSTDOWN))  # of a connect
 PROBE_WORDS = {"well": AttemptOutcome.OK, "ill": AttemptOutcome.ERROR}
 
 
@@ -144,18 +146,12 @@
         return endless or (not self.between and now - self.heard > most)
 
     async def run(self) -> None:
-        config, work = self.shared.config, list[asyncio.Task[None]]()
+        work = list[asyncio.Task[None]]()
         self.begun = True
         try:
-            if self.lost:
+            if self.lost or not await self._come_up():
                 return
-            if self.actor.way is not None:
-                self.sock, self.address = await self.actor.way.connect()
-                self.up_at = clock.now()
-            else:
-                assert self.actor.address is not None
-                self.sock = await connect(self.actor.address, config.dial_timeout / clock.SECOND)
-            self.actor.ramp.up()
+            assert self.sock is not None
             parts = self._write(self.sock), self._read(self.sock)
             work = [asyncio.ensure_future(part) for part in parts]
             done, _ = await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
@@ -165,16 +161,7 @@
         except ProtocolError as error:
             self.against("an answer that can't be read")
             self.shared.checks.event("cache_protocol_error", f"{self.actor.host}: {error}")
-        except ConnectFailedError as error:
-            self.absent = error.absent
-            self.shared.checks.count("cache_connections_failed_all_addresses")
-        except TimeoutError:
-            self.absent = True
-            self.shared.checks.count("cache_connect_timeouts")
-        except ConnectionRefusedError:
-            self.absent = True
-            self.shared.checks.count("cache_connections_refused")
-        except OSError:  # told to the module by how its attempts end
+        except OSError:  # ETIMEDOUT too, which is the built-in TimeoutError; told by how its attempts end
             self.shared.checks.count("cache_connections_reset")
             self.against("reset")
         finally:
@@ -188,6 +175,42 @@
                 self.shared.descriptors.cache(-1)
                 self._drop()
 
+    async def _come_up(self) -> bool:
+        """Connect; whether it is up, and else `absent` where that says that the machine is not there."""
+        checks = self.shared.checks
+        try:
+            await self._connect()
+        except ConnectFailedError as error:
+            self.absent = error.absent
+            checks.count("cache_connections_failed_all_addresses")
+        except TimeoutError:
+            self.absent = True
+            checks.count("cache_connect_timeouts")
+        except ConnectionRefusedError:
+            self.absent = True
+            checks.count("cache_connections_refused")
+        except OSError as error:
+            if error.errno in LOCAL_ERRORS:
+                checks.event("cache_connect_failed_local_resources", f"{self.actor.host}: {error}")
+            elif error.errno in UNREACHABLE_ERRORS:
+                self.absent = True
+                checks.count("cache_connections_unreachable")
+            else:
+                checks.count("cache_connections_reset")
+        else:
+            self.actor.ramp.up()
+            return True
+        return False
+
+    async def _connect(self) -> None:
+        if self.actor.way is not None:
+            self.sock, self.address = await self.actor.way.connect()
+            self.up_at = clock.now()
+        else:
+            assert self.actor.address is not None
+            timeout = self.shared.config.dial_timeout / clock.SECOND
+            self.sock = await connect(self.actor.address, timeout, self.shared.checks)
+
     def _drop(self) -> None:
         """The connection is gone: what no byte was taken of never ran, of the rest nothing is known.
 
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -3,11 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import socket
 
+from quincepier.checks import Checks
+
 SPARE = 24  # descriptors of the loop, the listener, the log and the like (11), and of those about to close
 
 
+# What a connect fails with for want of the front's own, or of its machine's: it says nothing of the server.
+LOCAL_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH)
+)
+LOCAL_PAUSE, MAX_LOCAL_PAUSE = 0.01, 0.16  # seconds until such a connect is tried again, doubled each time
 NO_BUFFER_PAUSE = 0.005  # seconds between looks for a buffer to read into, where even the reserve is used up
 
 
@@ -44,7 +53,9 @@
 
 
 def no_delay(sock: socket.socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    """Hold no small write back; a socket on which that can't be set is of use all the same."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 def listen(address: tuple[str, int], backlog: int = 1024) -> socket.socket:
@@ -59,8 +70,25 @@
     return sock
 
 
-async def connect(address: tuple[str, int], timeout: float) -> socket.socket:
-    """A connected socket; OSError where it is refused or not up in time."""
+async def connect(address: tuple[str, int], timeout: float, checks: Checks) -> socket.socket:
+    """A connected socket; OSError where it is refused or not up in time.
+
+    What fails for want of the front's own is tried again within that time.
+    """
+    loop = asyncio.get_running_loop()
+    until, pause = loop.time() + timeout, LOCAL_PAUSE
+    while True:
+        try:
+            return await _connect_once(address, until - loop.time())
+        except OSError as error:
+            if error.errno not in LOCAL_ERRORS or loop.time() + pause >= until:
+                raise
+        checks.count("connects_retried_local_resources")
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, MAX_LOCAL_PAUSE)
+
+
+async def _connect_once(address: tuple[str, int], timeout: float) -> socket.socket:
     sock = make_socket()
     try:
         await connect_within(sock, address, timeout)
--- a/quincepier/net/watch.py
+++ b/quincepier/net/watch.py
@@ -137,7 +137,7 @@
             await asyncio.sleep(self.due - loop.time())
         self.resting = self.sock is not None
         if self.sock is None:
-            self.sock = await connect(self.means.config.changelog, CONNECT_WITHIN)
+            self.sock = await connect(self.means.config.changelog, CONNECT_WITHIN, self.checks)
             self.descriptors.cache(1)
         host, port = self.means.config.changelog
         ask = f"GET /changes?since={self.last}&timeout={self.wait_ms} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
--- a/tests/attemptkit.py
+++ b/tests/attemptkit.py
@@ -268,8 +268,8 @@
         self.plain, self.held = sockets.connect, True
         monkeypatch.setattr("quincepier.net.connection.connect", self.connect)
 
-    async def connect(self, address: tuple[str, int], timeout: float) -> socket.socket:
-        sock = await self.plain(address, timeout)
+    async def connect(self, address: tuple[str, int], timeout: float, checks: Checks) -> socket.socket:
+        sock = await self.plain(address, timeout, checks)
         gate = asyncio.get_running_loop().create_future()
         try:
             if self.held:
--- a/tests/test_crossings_addresses.py
+++ b/tests/test_crossings_addresses.py
@@ -13,6 +13,7 @@
 import pytest
 
 from quincepier import clock
+from quincepier.checks import Checks
 from quincepier.config import read_front
 from quincepier.lifecycle.front import Front
 from quincepier.net import connection
@@ -38,12 +39,12 @@
         self.dialled: list[Any] = []  # the front's ends, as the machines see them
         self.patch = patch
 
-    async def connect(self, address: tuple[str, int], timeout: float) -> Any:
+    async def connect(self, address: tuple[str, int], timeout: float, checks: Checks) -> Any:
         if address in self.held:
             gate = asyncio.Event()
             self.held[address].append(gate)
             await gate.wait()
-        sock = await plain(address, timeout)
+        sock = await plain(address, timeout, checks)
         self.dialled.append(sock.getsockname())
         return sock
 
--- a/tests/test_crossings_commands.py
+++ b/tests/test_crossings_commands.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from quincepier.checks import Checks
 from quincepier.interface import AttemptOutcome
 from quincepier.memory.open_requests import OpenRequest
 from quincepier.net import sockets
@@ -22,8 +23,8 @@
 def slim(monkeypatch: pytest.MonkeyPatch) -> None:
     """Send buffers that hold a small part of the largest command."""
 
-    async def connect(address: tuple[str, int], timeout: float) -> socket.socket:
-        sock = await plain(address, timeout)
+    async def connect(address: tuple[str, int], timeout: float, checks: Checks) -> socket.socket:
+        sock = await plain(address, timeout, checks)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         return sock
 
--- a/tests/test_crossings_standstill.py
+++ b/tests/test_crossings_standstill.py
@@ -13,6 +13,7 @@
 import pytest
 
 from quincepier.addresses import parse
+from quincepier.checks import Checks
 from quincepier.interface import AttemptOutcome
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenAttempt
@@ -92,7 +93,7 @@
 
 
 def over_one(address: tuple[str, int], timeout: float) -> asyncio.Future[socket.socket]:
-    return asyncio.ensure_future(sockets.connect(address, timeout))
+    return asyncio.ensure_future(sockets.connect(address, timeout, Checks()))
 
 
 def in_a_race(address: tuple[str, int], timeout: float) -> asyncio.Future[socket.socket]:
--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -20,6 +20,7 @@
 
 from quincepier import clock
 from quincepier import interface as io
+from quincepier.checks import Checks
 from quincepier.config import read_front
 from quincepier.lifecycle.front import Front
 from quincepier.memory.machine_directory import MachineDirectory
@@ -63,14 +64,14 @@
     async def start(self) -> None:
         plain = sockets.connect
 
-        async def connect(address: tuple[str, int], timeout: float) -> Any:
+        async def connect(address: tuple[str, int], timeout: float, checks: Checks) -> Any:
             self.tries.append(self.now)
             if self.way == "cut":
                 await asyncio.sleep(timeout)
                 raise TimeoutError
             if self.way == "down":
                 raise ConnectionRefusedError
-            return await plain(address, timeout)
+            return await plain(address, timeout, checks)
 
         self.patch.setattr(watch, "connect", connect)
         for cache in self.caches.values():
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -25,7 +25,7 @@
 
 
 @pytest.mark.fleet(5)
-@pytest.mark.parametrize("error", ["ENFILE"])
+@pytest.mark.parametrize("error", ["ENFILE", "ENOBUFS", "EPROTO", "EINTR"])
 def test_who_waits_as_accept_fails_and_the_listener_ends_is_answered(tmp_path: Path, error: str) -> None:
     """Ten clients come 0.3 s after SIGTERM; accept fails until 0.9 s, the listener stops at 0.75 s."""
     plan = Plan(rules=(Rule("accept", (error,), begin=0.25, end=0.9, since="term"),))
@@ -63,7 +63,7 @@
         return super().recv_into(*args, **more)  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize("number", [errno.ETIMEDOUT])
+@pytest.mark.parametrize("number", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET])
 def test_a_connection_long_up_that_ends_with_an_error_says_nothing_of_connects(
     monkeypatch: pytest.MonkeyPatch, number: int
 ) -> None:
@@ -93,8 +93,8 @@
     on_loop(scenario)
 
 
-@pytest.mark.parametrize("number", [errno.ENFILE])
-@pytest.mark.parametrize("call", ["socket"])
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL, errno.ENETUNREACH])
+@pytest.mark.parametrize("call", ["socket", "connect"])
 def test_a_connect_that_fails_for_want_of_the_fronts_own_is_tried_again_after_a_pause(
     monkeypatch: pytest.MonkeyPatch, call: str, number: int
 ) -> None:
