--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -42,6 +42,7 @@
     ROLL = "roll"  # SIGTERM and start anew, one after the other over `lasts`
     PAUSE = "pause"  # SIGSTOP, SIGCONT after `lasts`
     STARVE = "starve"  # stopped and let go in turn, `size` ms each
+    RELOAD = "reload"  # SIGHUP, `size` times over `lasts`; not in virtual time
     # On a path of the net, to and from a part of the fronts; not in virtual time.
     CUT = "cut"  # what is said is lost; new connections never come up
     SILENT = "silent"  # open connections stay open and nothing comes through; new ones come up
@@ -53,7 +54,7 @@
     SHUFFLE = "shuffle"  # of datagrams: `size` of them come up to 50 ms late
 
 
-ON_FRONTS = frozenset((Kind.KILL, Kind.TERM, Kind.ROLL, Kind.PAUSE, Kind.STARVE))
+ON_FRONTS = frozenset((Kind.KILL, Kind.TERM, Kind.ROLL, Kind.PAUSE, Kind.STARVE, Kind.RELOAD))
 ON_PATHS = frozenset(
     (Kind.CUT, Kind.SILENT, Kind.RESET, Kind.DELAY, Kind.THROTTLE, Kind.LOSS, Kind.REPEAT, Kind.SHUFFLE)
 )
@@ -144,6 +145,8 @@
     retries: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
     back_off_ms: Positive = 50.0
     groups: Count = 32
+    leaves: Share = 0.0  # of tries by processes: whose client aborts or closes before its time
+    hurried: Share = 0.0  # of tries by processes: with a small part of their class's time
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/quincepier/lab/fleet/evidence.py
+++ b/quincepier/lab/fleet/evidence.py
@@ -21,10 +21,12 @@
 from quincepier.lab.tally import START, Figures, Tally
 
 CROSSED = 50 * MS  # a request that crosses the close of its connection was never taken
+RESUMED = 500 * MS  # after a stop: what was due by then may be late, as the front had no time for it
 TERM_TAKES = 700 * MS  # what comes later than this after SIGTERM is nobody's
 CLAIM_FOR, CLAIM_LEAST, CLAIM_SHARE = 3 * SECOND, 20, 0.9  # a front's claim of full service; see _claims
 CLAIM_OPEN = SECOND // 2  # what came so shortly before a fault may be open as it strikes
 US = 1000
+FAULT_WORDS = ("invariant_violated_", "exception_in_", "Traceback")
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 
 
@@ -97,7 +99,7 @@
 class Evidence:
     def __init__(self, experiment: Experiment, story: Story, folder: Path) -> None:
         self.experiment, self.story = experiment, story
-        self.judge, self.tally = Judge(), Tally(experiment)
+        self.judge, self.tally, self.folder = Judge(), Tally(experiment), folder
         self.notes = sorted(_read(folder), key=lambda n: n[0])
         self.notes += [[at, "started", front, seq] for at, front, seq in story.starts]
         self.notes += [[at, "struck", what, fronts] for at, what, fronts in story.marks]
@@ -121,8 +123,11 @@
         return sum(max(min(b, until) - max(a, since), 0) for a, b in self.stalls)
 
     def _excused(self, front: int, came: int, due: int) -> bool:
-        """Whether the rig itself kept that front from answering."""
-        stopped = any(f == front and a < due and came < b for f, a, b in self.story.stops)
+        """Whether the rig itself kept that front from answering.
+
+        One that was stopped is excused for what was due in that time; what has time left after it is not.
+        """
+        stopped = any(f == front and a < due < b + RESUMED and came < b for f, a, b in self.story.stops)
         down = any(f == front and a <= due and came < b for f, a, b, why in self.story.downs if why != "term")
         late = any(
             f == front and came > at + TERM_TAKES and came < at + 30 * SECOND for f, at in self.story.terms
@@ -133,10 +138,19 @@
         for when, what, *about in self.notes:
             getattr(self, f"_{what}", self._pass)(when, *about)
         self._claims()
+        for front, line in self._faults_told():
+            self.judge.accuse("invariant", -1, f"front {front}: {line}", front)
         for front, why in self.story.crashes:
             self.judge.accuse("crash", -1, f"front {front} {why}", front)
         self.judge.end(self._at(self.last))
 
+    def _faults_told(self) -> Iterator[tuple[int, str]]:
+        """Lines in which a front itself tells of a fault: an invariant that broke, an exception survived."""
+        for path in sorted(self.folder.glob("front-*/log")):
+            for line in path.read_text(errors="replace").splitlines():
+                if any(word in line for word in FAULT_WORDS) and "counters" not in line:
+                    yield int(path.parent.name.removeprefix("front-")), line
+
     def _pass(self, when: int, *about: Any) -> None:
         pass
 
@@ -151,8 +165,11 @@
         if self._excused(front, when, due):
             self.judge.abandoned(job)
 
-    def _sent(self, when: int, job: int, front: int, machine: int, source: int, serial: int) -> None:
+    def _sent(
+        self, when: int, job: int, front: int, machine: int, source: int, serial: int, wait_ms: int
+    ) -> None:
         self.sent[serial] = (when, job)
+        self.judge.began(self._at(when), job, wait_ms * MS, self._stood(when - SECOND, when + SECOND))
         self.judge.sent(self._at(when), job, front, machine, source or None)
 
     def _ran(self, when: int, job: int, machine: int) -> None:
@@ -181,8 +198,13 @@
         self.judge.accuse("answer", -1, f"front {front} says more after a request's end", front)
 
     def _left(self, when: int, job: int) -> None:
-        """Past its time and the client's patience: never answered, unless it is excused."""
+        """Before its time its client gave it up; past it and the client's patience it was never answered."""
         self.last = max(self.last, when)
+        trace = self.judge.traces.get(job)
+        if trace is not None and self._at(when) < trace.due:
+            self.judge.client_left(self._at(when), job)
+            for jobs in self.open.values():
+                jobs.pop(job, None)
 
     def _lost(self, when: int, job: int, front: int) -> None:
         came = self.open[front].pop(job, when)
--- a/quincepier/lab/fleet/load.py
+++ b/quincepier/lab/fleet/load.py
@@ -24,6 +24,8 @@
 
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
 OVERLOADED = 2
+HURRIED = (0.005, 0.15)  # of its class's time, for who is in a hurry
+ABORTS = 0.6  # of those who leave: the others close their connection
 STREAMS = 32  # open requests on a connection
 PATIENT = 500 * MS  # a client waits so much past its time before it gives up
 BEHIND, BEHIND_PART = 50 * MS, 0.02  # an arrival this late is behind; more than that part voids the run
@@ -112,6 +114,7 @@
         self.plan, self.experiment, self.notes = plan, experiment, notes
         self.loop, self.random = asyncio.get_running_loop(), random.Random(f"{plan.seed} load {plan.number}")
         self.jobs = random.Random(f"{plan.seed} jobs {plan.number}")
+        self.rude = random.Random(f"{plan.seed} rude {plan.number}")
         self.shown = list(range(experiment.fleet.fronts))
         self.pools: dict[int, list[Connection]] = {f: [] for f in self.shown}
         self.zipf = [self._weights(c) for c in experiment.classes]
@@ -171,6 +174,8 @@
     def _send(self, connection: Connection, one: Try) -> None:
         c = self.experiment.classes[one.cls]
         now, wait = time.monotonic_ns(), int(c.deadline_ms)
+        if self.rude.random() < self.experiment.load.hurried:
+            wait = max(int(wait * self.rude.uniform(*HURRIED)), 1)
         one.due = now + wait * MS
         values = {
             "SCRIPT_NAME": f"/call/{c.name}",
@@ -183,6 +188,27 @@
         self.notes.note("asked", one.job, one.front, c.effect.value, one.due, one.group)
         connection.send(one, values)
         self.loop.call_later((one.due + PATIENT - now) / SECOND, self._give_up, connection, one)
+        if self.rude.random() < self.experiment.load.leaves:
+            after = self.rude.random() * wait * MS / SECOND
+            how = self._leave if self.rude.random() < ABORTS else self._hang_up
+            self.loop.call_later(after, how, connection, one)
+
+    def _leave(self, connection: Connection, one: Try) -> None:
+        """Its client gives it up before its time."""
+        if not one.over:
+            connection.abort(one)
+            self.notes.note("left", one.job)
+            self._over(one, "failed", 0, -1)
+
+    def _hang_up(self, connection: Connection, one: Try) -> None:
+        """So it does by closing its connection, with all that is open there."""
+        if one.over or connection.transport is None:
+            return
+        for other in connection.open.values():
+            if not other.over:
+                self.notes.note("left", other.job)
+                self._over(other, "failed", 0, -1)
+        connection.transport.close()
 
     def _give_up(self, connection: Connection, one: Try) -> None:
         if not one.over:
--- a/quincepier/lab/fleet/rig.py
+++ b/quincepier/lab/fleet/rig.py
@@ -473,6 +473,8 @@
         elif fault.kind in (Kind.TERM, Kind.ROLL):
             apart = fault.lasts / len(struck) if fault.kind is Kind.ROLL else 0.0
             await asyncio.gather(*(self._term(front, fault, n * apart) for n, front in enumerate(struck)))
+        elif fault.kind is Kind.RELOAD:
+            await asyncio.gather(*(self._reload(front, fault) for front in struck))
         elif fault.kind is Kind.PAUSE:
             await asyncio.gather(*(self._pause(front, fault.lasts) for front in struck))
             self.story.returns.append(time.monotonic_ns())
@@ -515,6 +517,11 @@
         if front.starts == starts:
             await front.start()
 
+    async def _reload(self, front: FrontProcess, fault: Fault) -> None:
+        for _ in range(max(int(fault.size), 1)):
+            front.signal(signal.SIGHUP)
+            await asyncio.sleep(fault.lasts / max(fault.size, 1))
+
     async def _pause(self, front: FrontProcess, lasts: float) -> None:
         since = time.monotonic_ns()
         front.signal(signal.SIGSTOP)
--- a/quincepier/lab/fleet/standins.py
+++ b/quincepier/lab/fleet/standins.py
@@ -120,7 +120,8 @@
         source = hall.by_host.get(fields.get("via", ""))
         order.source = source.number if source else None
         via = source.index if source else 0
-        hall.notes.note("sent", order.number, self.front, machine.index, via, order.serial)
+        wait = int(fields["wait"])
+        hall.notes.note("sent", order.number, self.front, machine.index, via, order.serial, wait)
         self.open[order.serial] = order
         hall.after(hall.way(machine), hall.reach, order)
 
--- a/quincepier/lab/judge.py
+++ b/quincepier/lab/judge.py
@@ -12,6 +12,7 @@
 from quincepier.lab.experiment import MS, SECOND
 
 DRAIN_GRACE, PURGE_GRACE, LATER = 2 * SECOND, 500 * MS, 50 * MS
+LEFT_SLACK, WAIT_SLACK = 100 * MS, 150 * MS  # of what begins: after its client left; told to a server
 KEPT_MOST = 40  # broken rules kept with their timeline; more are counted
 
 
@@ -34,6 +35,7 @@
     answers: int = 0
     runs: int = 0  # effects that took place
     abandoned: bool = False  # its front was killed: no longer that front's duty
+    left: int = 0  # when its client closed or cancelled it; 0: it has not
 
 
 class Judge:
@@ -79,8 +81,30 @@
         if request in self.traces:
             self.traces[request].abandoned = True
 
+    def client_left(self, now: int, request: int) -> None:
+        """Its client has closed or cancelled it: no answer is owed, and nothing begins for it."""
+        trace = self.traces.get(request)
+        if trace is not None:
+            trace.left, trace.abandoned = trace.left or now, True
+            self._note(now, request, "its client leaves")
+
     # What is seen
 
+    def began(self, now: int, request: int, wait: int, slack: int) -> None:
+        """Rule one: nothing begins for who has left, nor with more time than its client has.
+
+        `slack`: time in which the rig itself stood still since, ns.
+        """
+        trace = self.traces.get(request)
+        if trace is None:
+            return
+        self.checked["begin"] += 1
+        if trace.left and now - trace.left > LEFT_SLACK + LATER + slack:
+            self._break("begin", request, f"begins {(now - trace.left) / SECOND:.3f} s after its client left")
+        over = wait - (trace.due - now)
+        if over > WAIT_SLACK + LATER + slack:
+            self._break("begin", request, f"a server is told {over / SECOND:.3f} s more than is left")
+
     def sent(self, now: int, request: int, front: int, machine: int, source: int | None) -> None:
         """Rule three: nothing new for a machine past the grace, nor with it as the source."""
         self._note(now, request, f"to {machine}" + (f" by way of {source}" if source is not None else ""))
--- a/quincepier/lab/world.py
+++ b/quincepier/lab/world.py
@@ -274,7 +274,7 @@
             elif fault.kind is Kind.PAUSE:
                 self._pause(front, True, front.starts)
                 self.after(lasts, self._pause, front, False, front.starts)
-            else:
+            elif fault.kind is Kind.STARVE:
                 self._starve(front, True, int(fault.size * MS), self.now + lasts, front.starts)
 
     def _down(self, front: Front, lasts: int, start: int, disk: Disk) -> None:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import time
 from pathlib import Path
 
 import pytest
@@ -133,3 +134,24 @@
         await inside.settled()
 
     on_loop(scenario)
+
+
+@pytest.mark.fleet(6)
+def test_what_waited_in_the_backlog_as_accept_failed_is_sent_with_the_time_that_is_left(
+    tmp_path: Path,
+) -> None:
+    """A client connects and asks; accept fails for the front's first two seconds."""
+    plan = Plan(rules=(Rule("accept", ("ENFILE",), end=2.0),))
+
+    async def scenario(front: Front) -> None:
+        client = await front.client()
+        client.ask(1, "bid", HTTP_X_ALLOW_MS="4000")
+        began = time.monotonic()
+        origin = front.caches["o-1"]
+        await until(lambda: bool(origin.asked), "it is sent on")
+        left_ms = 4000 - (time.monotonic() - began) * 1000
+        assert left_ms < 4000 - 500, "it has waited"
+        assert int(origin.asked[0].fields["wait"]) <= left_ms + 150
+        assert (await client.ended(1)).status == 200
+
+    play(tmp_path, {"s-1": hit, "p-1": hit, "o-1": hit}, scenario, plan=plan.text())
