A request in the backlog counts from when its connection may have come

Cause: what was accepted counted as read just now, however long accept had failed or the process had stood still.

Change: the listener notes from when on somebody may wait in its backlog, until an accept finds nobody; who may have waited over 20 ms is read at once and counts from then, and beyond 0.25 s the backlog is emptied in a row of 256 at most in place of 8.

--- a/quincepier/net/listener.py
+++ b/quincepier/net/listener.py
@@ -6,10 +6,13 @@
 import socket
 from enum import Enum
 
+from quincepier import clock
 from quincepier.net.clients import ConnectionManager
 from quincepier.net.sockets import no_delay
 
 ACCEPTS = 8  # new clients in a row: the others get their turn in a storm of them
+ACCEPTS_AT_MOST = 256  # in a row once some may have waited long: their time counts from the first of them
+MIN_WAIT, MAX_WAIT = 20 * clock.MS, 250 * clock.MS  # in the backlog: of note; for the usual few in a row
 FAILED_PAUSE = 0.01  # seconds not accepted after a failure, which is mostly one of descriptors
 
 
@@ -32,6 +35,7 @@
         self.manager, self.sock = manager, sock
         self.again: asyncio.TimerHandle | None = None  # after a failure
         self.stopped = False
+        self.waiting_since_ns = 0  # from when on whoever is in the backlog may have come; 0: nobody was left
 
     def start(self) -> None:
         self.again = None
@@ -62,14 +66,22 @@
             self.sock.close()
 
     def _ready(self) -> None:
-        for _ in range(ACCEPTS):
+        for _ in range(ACCEPTS if self._waited_ns() < MAX_WAIT else ACCEPTS_AT_MOST):
             if self._accept() is not Accepted.ONE:
                 break
 
+    def _waited_ns(self) -> int:
+        """How long whoever is accepted now may have waited; the first look at a backlog begins it."""
+        now_ns = clock.now()
+        if not self.waiting_since_ns:
+            self.waiting_since_ns = self.manager.pauses.earliest_arrival(now_ns)
+        return now_ns - self.waiting_since_ns
+
     def _accept(self) -> Accepted:
         try:
             sock, address = self.sock.accept()
         except BlockingIOError:
+            self.waiting_since_ns = 0
             return Accepted.NONE_LEFT
         except InterruptedError:
             return Accepted.FAILED
@@ -84,7 +96,12 @@
             return Accepted.FAILED
         sock.setblocking(False)
         no_delay(sock)
+        waited_ns = self._waited_ns()
         connection = self.manager.admit(sock, address[0])
-        if self.stopped and connection is not None:
+        if connection is None:
+            return Accepted.ONE
+        if waited_ns > MIN_WAIT:
+            connection.count_from(self.waiting_since_ns)
+        if self.stopped or waited_ns > MIN_WAIT:
             connection.receive()  # what it asked before this is asked in time
         return Accepted.ONE
--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -53,6 +53,10 @@
             self.queued_at = clock.now()
             self.earliest_arrival = self.manager.pauses.earliest_arrival(self.queued_at)
 
+    def count_from(self, arrival_ns: int) -> None:
+        """What lies in the socket now may have come at that time."""
+        self.queued_at, self.earliest_arrival = clock.now(), arrival_ns
+
     def check_client(self, now_ns: int) -> None:
         """Hear of an abort or a close that lies in the socket, where it was not read to its end lately."""
         if self.closed or now_ns - self.emptied_at < CHECK_INTERVAL:
