Failing tests: a change log that answers late, or whose connections come up late

Found by a probe with the real front: a stand-in log that takes 1.5 s over each answer tells of a drain after 2.2 s, one that takes 2, 2.5 or 3.5 s never does within 12 s: each poll is given up 1.75 s after it was asked, with its connection, and the next one waits as long.

--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -145,6 +145,7 @@
     retries: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
     back_off_ms: Positive = 50.0
     groups: Count = 32
+    lost_ms: Positive = 50.0  # past its time: an answer that comes later is lost
     leaves: Share = 0.0  # of tries by processes: whose client aborts or closes before its time
     hurried: Share = 0.0  # of tries by processes: with a small part of their class's time
 
--- a/quincepier/lab/fleet/evidence.py
+++ b/quincepier/lab/fleet/evidence.py
@@ -99,7 +99,8 @@
 class Evidence:
     def __init__(self, experiment: Experiment, story: Story, folder: Path) -> None:
         self.experiment, self.story = experiment, story
-        self.judge, self.tally, self.folder = Judge(), Tally(experiment), folder
+        self.judge, self.tally = Judge(int(experiment.load.lost_ms * MS)), Tally(experiment)
+        self.folder = folder
         self.notes = sorted(_read(folder), key=lambda n: n[0])
         self.notes += [[at, "started", front, seq] for at, front, seq in story.starts]
         self.notes += [[at, "struck", what, fronts] for at, what, fronts in story.marks]
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import json
+import socket
 from pathlib import Path
 
 import pytest
 
+from quincepier.checks import Checks
 from quincepier.net import watch
 from quincepier.net.messages import ToModule
 from tests.standins import until
 from tests.test_standing_told import DRAIN_GRACE, NEVER, Story, waits_on
 from tests.virtual import run
-from tests.watchkit import MOMENT, Log, Rig, body, http, now, play, purge
+from tests.watchkit import MOMENT, Ask, Log, Rig, body, http, now, play, purge
 
 # A move to another address
 
@@ -255,3 +257,45 @@
 ) -> None:
     waits_on(monkeypatch)
     assert "drain" in silent_from_the_start(tmp_path, monkeypatch)
+
+
+def answer_after(rig: Rig, seconds: float) -> None:
+    """From now on the log tells of event 2, so long after it was asked, whoever still listens."""
+
+    def late(ask: Ask) -> None:
+        asyncio.get_running_loop().call_later(seconds, ask.tell, 2)
+
+    rig.log.script = late
+
+
+@pytest.mark.parametrize("seconds", [3.5])
+def test_a_log_that_always_answers_late_is_heard(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
+    """Slow or crowded: later than a log that stopped is found out, each time it is asked."""
+
+    async def story(rig: Rig) -> None:
+        answer_after(rig, seconds)
+        began = now()
+        await rig.told(2)
+        assert now() - began <= seconds + 0.1, "its first answer counts"
+        asked = len(rig.log.asks)
+        await asyncio.sleep(10)
+        assert len(rig.log.asks) - asked <= 12, "it is not asked more often than usual"
+
+    play(monkeypatch, story)
+
+
+def test_a_log_whose_connections_come_up_late_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    plain = watch.connect
+
+    async def connect(address: tuple[str, int], timeout: float, checks: Checks) -> socket.socket:
+        async with asyncio.timeout(timeout):
+            await asyncio.sleep(1.2)
+            return await plain(address, timeout, checks)
+
+    monkeypatch.setattr(watch, "connect", connect)
+
+    async def story(rig: Rig) -> None:
+        rig.log.script = lambda ask: ask.tell(2)
+        await rig.told(2)
+
+    play(monkeypatch, story)
