Failing tests: whole requests before garbage, who goes for half-sent bodies, a start without sockets

Found by reading each close of a client's connection against 'read and then closed with no answer is lost', and each socket() against 'may fail for a moment': a decoder that meets what is no record drops the whole requests of the same read, and the close takes along what is open there; so does the close of who holds most of half-sent bodies; the front ends with 'can't listen' where its first socket fails with ENFILE.

--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -370,3 +370,54 @@
         assert second.is_cancelled
 
     on_loop(scenario)
+
+
+GARBAGE = b"\xff" * 64
+
+
+async def answered_and_closed(manager: ConnectionManager, peer: Peer, job: str) -> None:
+    """The request has its answer, nothing else is sent on, and the connection ends without a reset."""
+    (message,) = manager.module.last
+    assert isinstance(message, Came) and message.request.job_id == job
+    message.request.number = 1  # the module has it
+    assert not message.request.is_cancelled
+    give(manager, message.request, b"bytes")
+    await peer.to_the_end()
+    assert peer.reader.got[2].body == b"bytes" and peer.reader.got[2].ended == 0
+    assert (not manager.connections and not manager.lingering.open) or not peer.at_front.asks
+
+
+@pytest.mark.parametrize("apart", [False])
+def test_a_whole_request_is_answered_though_what_is_no_record_comes_behind_it(apart: bool) -> None:
+    """In one read, or in a later one as it is open."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        peer.send(LATE if apart else LATE + GARBAGE)
+        await until(lambda: bool(taken(manager)), "it is taken")
+        if apart:
+            peer.send(GARBAGE)
+            await asyncio.sleep(0.05)
+        await answered_and_closed(manager, peer, "2" * 16)
+        assert manager.checks.counts["client_protocol_error"] == 1
+
+    on_loop(scenario)
+
+
+def test_who_goes_for_half_sent_bodies_is_answered_what_it_asked_whole() -> None:
+    """Of all that hold half a body it holds most, and a request of it is open."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        peer.send(LATE)
+        await until(lambda: bool(taken(manager)), "it is taken")
+        manager.bodies_most = 20_000
+        half = call(3, params("3" * 16, "bid"), b"x" * 40_000)[:-100]
+        peer.send(half)
+        await until(lambda: manager.checks.counts["client_closed_partial_request_limit"] > 0, "it goes")
+        assert manager.bodies <= 20_000
+        await answered_and_closed(manager, peer, "2" * 16)
+
+    on_loop(scenario)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -155,3 +155,16 @@
         assert (await client.ended(1)).status == 200
 
     play(tmp_path, {"s-1": hit, "p-1": hit, "o-1": hit}, scenario, plan=plan.text())
+
+
+@pytest.mark.fleet(4)
+@pytest.mark.parametrize("error", ["ENFILE"])
+def test_a_front_starts_though_no_socket_can_be_had_for_a_moment(tmp_path: Path, error: str) -> None:
+    plan = Plan(rules=(Rule("socket", (error,), end=1.0),))
+
+    async def scenario(front: Front) -> None:
+        client = await front.client()
+        client.ask(1)
+        assert (await client.ended(1)).status == 200
+
+    play(tmp_path, {"s-1": hit, "p-1": hit, "o-1": hit}, scenario, plan=plan.text())
