Whole requests are answered before their connection ends for what can't be read; a start waits for sockets

Cause: fastcgi.Decoder.feed raised at what is no record and dropped the whole requests of the same read; the close for it, and that of who holds most of half-sent bodies, took along what was open; the listener's socket was tried once.

Change: what came whole before a fault is returned, and Decoder.fault says why nothing more will be; the connection is read on only to hear of a close, answers what was asked whole, then ends; with nothing owed it ends at once. The listener's socket is tried for 10 s where none can be had for a moment.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -22,7 +22,7 @@
 from quincepier.net.clients import ConnectionManager
 from quincepier.net.listener import Listener
 from quincepier.net.module import ModuleActor
-from quincepier.net.sockets import Descriptors, listen
+from quincepier.net.sockets import Descriptors, listen_once_possible
 from quincepier.net.watch import Watch
 
 if TYPE_CHECKING:  # imported only where an operators' file is named
@@ -64,7 +64,7 @@
     async def serve(self) -> None:
         """Until a SIGTERM or SIGINT has been drained. OSError or PeersError where an address can't be had."""
         loop = asyncio.get_running_loop()
-        sock = listen(self.config.listen)
+        sock = await listen_once_possible(self.config.listen, self.checks)
         listener = Listener(self.manager, sock)
         signals.tell(lambda: loop.call_soon_threadsafe(self._signalled))
         self.module.means.pauses.start()
--- a/quincepier/net/clients.py
+++ b/quincepier/net/clients.py
@@ -20,6 +20,7 @@
 from quincepier.net.means import Means
 from quincepier.timers import ActiveClock, Wheel
 from quincepier.translate import class_table
+from quincepier.wire.errors import ProtocolError
 
 if TYPE_CHECKING:  # imported only where the operators' file tells of clients
     from quincepier.clients.section import Places
@@ -145,7 +146,8 @@
         # whole bodies alone are no fault of who is half way: what comes beside those is refused once whole
         if sum(c.held for c in self.in_session) > self.bodies_most * HALF_SENT:
             self.checks.event("client_closed_partial_request_limit")
-            max(self.in_session, key=lambda c: c.held).close()
+            most = max(self.in_session, key=lambda c: c.held)
+            most.stop_reading(ProtocolError(f"{most.held} bytes of requests that are not whole"))
 
     def sweep(self, now: int) -> None:
         """Look at the timers that are due. Time in which nobody looked is the front's and does not count."""
--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -11,6 +11,7 @@
 from quincepier.net.writing import Writing
 from quincepier.translate import PING, BadRequestError, open_request
 from quincepier.wire import fastcgi
+from quincepier.wire.errors import ProtocolError
 
 WHOLE_WITHIN = 2.0  # seconds that one message may take
 ROW = 4  # reads of one connection in a row
@@ -97,8 +98,9 @@
         if session is None:
             session = self.session = Session(manager.descriptors.clients_most)
             manager.in_session.add(self.itself)
-        read_closed = self.read_closed
-        for item in session.decoder.feed(manager.scratch[:size]):
+        read_closed, decoder = self.read_closed, session.decoder
+        # behind a fault it is read on only to hear of a close
+        for item in decoder.feed(manager.scratch[:size]) if decoder.fault is None else ():
             match item:
                 case fastcgi.Call() | fastcgi.Reply() if read_closed:
                     pass  # only aborts are listened to
@@ -115,7 +117,10 @@
             manager.checks.event("client_closed_short_responses_unread")
             self.close()
             return
-        held = session.decoder.held
+        if decoder.fault is not None and not read_closed:
+            self.stop_reading(decoder.fault)
+            return
+        held = decoder.held
         if held or self.held:
             manager.hold(self.itself, held)
             if self.closed:
@@ -130,6 +135,24 @@
             self._look_in(min(FAULT_PAUSE * 2 ** min(self.faults, 10), FAULT_PAUSE_MOST), resume=True)
         self._settle()
 
+    def stop_reading(self, fault: ProtocolError) -> None:
+        """Nothing that comes is of use any more: it ends once what was asked whole is answered."""
+        session = self.session
+        if self.closed or session is None:
+            return
+        self.manager.checks.event("client_protocol_error", str(fault))
+        session.decoder.fail(fault)
+        self.manager.bodies -= self.held
+        self.held = 0
+        self.read_closed = self.closing = True
+        self._pause()
+        if self.asks:  # its client may leave
+            asyncio.get_running_loop().call_later(LISTEN_WITHIN, self.resume)
+        if self.owed or self.stirred:
+            self._settle()
+        else:
+            self.close(linger=self.asked)  # what it was answered may not have reached it yet
+
     def _call(self, session: Session, call: fastcgi.Call, at: int, earliest: int) -> None:
         manager = self.manager
         session.keep[call.id] = call.keep
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -13,9 +13,9 @@
 
 
 # What a connect fails with for want of the front's own, or of its machine's: it says nothing of the server.
-LOCAL_ERRORS = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH)
-)
+RESOURCE_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+LOCAL_ERRORS = RESOURCE_ERRORS | {errno.EADDRNOTAVAIL, errno.ENETUNREACH}
+LISTEN_WITHIN = 10.0  # seconds; a front is to be ready within 30
 LOCAL_PAUSE, MAX_LOCAL_PAUSE = 0.01, 0.16  # seconds until such a connect is tried again, doubled each time
 NO_BUFFER_PAUSE = 0.005  # seconds between looks for a buffer to read into, where even the reserve is used up
 
@@ -70,6 +70,21 @@
     return sock
 
 
+async def listen_once_possible(address: tuple[str, int], checks: Checks) -> socket.socket:
+    """A listening socket; tried again where none can be had for a moment, else OSError."""
+    loop = asyncio.get_running_loop()
+    until, pause = loop.time() + LISTEN_WITHIN, LOCAL_PAUSE
+    while True:
+        try:
+            return listen(address)
+        except OSError as error:
+            if error.errno not in RESOURCE_ERRORS or loop.time() + pause >= until:
+                raise
+        checks.count("listens_retried_local_resources")
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, MAX_LOCAL_PAUSE)
+
+
 async def connect(address: tuple[str, int], timeout: float, checks: Checks) -> socket.socket:
     """A connected socket; OSError where it is refused or not up in time.
 
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -132,8 +132,9 @@
     def _break_off(self, error: Exception) -> None:
         """What goes wrong ends this connection alone: by its client, the network, or a fault of ours."""
         if isinstance(error, ProtocolError):
-            self.manager.checks.event("client_protocol_error", str(error))
-        elif isinstance(error, OSError):
+            self.stop_reading(error)
+            return
+        if isinstance(error, OSError):
             self.manager.checks.count("client_connections_reset")
         else:
             self.manager.checks.exception("exception_in_client_actor", error)
@@ -211,6 +212,9 @@
     def close_gracefully(self) -> None:
         raise NotImplementedError
 
+    def stop_reading(self, fault: ProtocolError) -> None:
+        raise NotImplementedError
+
     def _shut(self, linger: bool = False) -> None:
         raise NotImplementedError
 
--- a/quincepier/wire/fastcgi.py
+++ b/quincepier/wire/fastcgi.py
@@ -122,6 +122,7 @@
         self.skip = 0  # bytes of a record still to come that are passed over, unread and unkept
         self.records = self.strays = 0
         self.answering: set[int] = set()
+        self.fault: ProtocolError | None = None  # for good: nothing that comes after it can be read
         self.values = {
             "FCGI_MAX_CONNS": str(connections_most),
             "FCGI_MAX_REQS": str(connections_most * OPEN_MOST),
@@ -145,7 +146,29 @@
         return self.records + 1 if self.buffer or self.skip else None
 
     def feed(self, data: bytes | bytearray | memoryview) -> list[Call | Aborted | Reply]:
-        buffer, at, found = self.buffer, 0, list[Call | Aborted | Reply]()
+        """Return what is whole now; what can't be read raises ProtocolError.
+
+        Where something whole came before it that is returned, and `fault` says why nothing more will be.
+        """
+        if self.fault is not None:
+            raise self.fault
+        found = list[Call | Aborted | Reply]()
+        try:
+            self._feed(data, found)
+        except ProtocolError as error:
+            self.fail(error)
+            if not found:
+                raise
+        return found
+
+    def fail(self, fault: ProtocolError) -> None:
+        """Nothing more is read: what is half there goes."""
+        self.fault, self.skip = fault, 0
+        self.buffer.clear()
+        self.begun.clear()
+
+    def _feed(self, data: bytes | bytearray | memoryview, found: list[Call | Aborted | Reply]) -> None:
+        buffer, at = self.buffer, 0
         buffer += data
         while True:
             passed = min(self.skip, len(buffer) - at)
@@ -165,7 +188,6 @@
             found += self._record(kind, request, bytes(buffer[start : start + size]))
             self.records, at = self.records + 1, start + size + padding
         del buffer[:at]
-        return found
 
     def _too_much(self, kind: int, request: int, size: int) -> list[Call | Aborted | Reply] | None:
         """What to say, by its head alone, of a record that is not to be kept; None for one that is."""
