--- a/quincepier/lab/fleet/evidence.py
+++ b/quincepier/lab/fleet/evidence.py
@@ -25,6 +25,7 @@
 TERM_TAKES = 700 * MS  # what comes later than this after SIGTERM is nobody's
 CLAIM_FOR, CLAIM_LEAST, CLAIM_SHARE = 3 * SECOND, 20, 0.9  # a front's claim of full service; see _claims
 CLAIM_OPEN = SECOND // 2  # what came so shortly before a fault may be open as it strikes
+TOLD_AFTER = 7 * SECOND  # since the log has it
 US = 1000
 FAULT_WORDS = ("invariant_violated_", "exception_in_", "Traceback")
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
@@ -105,6 +106,7 @@
         self.notes += [[at, "started", front, seq] for at, front, seq in story.starts]
         self.notes += [[at, "struck", what, fronts] for at, what, fronts in story.marks]
         self.notes += [[since, "killed", front] for front, since, _, why in story.downs if why != "term"]
+        self.notes += [[n[0] + TOLD_AFTER, "counts_as_told", n[2]] for n in self.notes if n[1] == "event"]
         self.notes.sort(key=lambda n: n[0])
         self.sent: dict[int, tuple[int, int]] = {}  # by serial: when, and for which request
         self.events: dict[int, tuple[str, list[Any]]] = {}
@@ -245,6 +247,11 @@
                     self.judge.told_leaving(self._at(when), front, machine)
         self.heard[front] = max(self.heard[front], seq)
 
+    def _counts_as_told(self, when: int, seq: int) -> None:
+        """What the log has to tell counts as told by then, whether it was heard or not."""
+        for front in range(self.experiment.fleet.fronts):
+            self._knows(when, front, seq)
+
     def _call(self, when: int, front: int, since: int) -> None:
         self.tally.returns.count("calls for the list", self._at(when))
         self._knows(when, front, since)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -40,6 +40,8 @@
     ("starve", 0.5, 2.0, "part: 0.4, size: 120"),
     ("reload", 0.1, 1.0, "part: 0.6, size: 5"),
     ("cut", 0.5, 6.0, "path: log, way: in, part: 0.6"),
+    ("delay", 4.0, 8.0, "path: log, way: in, part: 0.7, size: 2500"),
+    ("delay", 2.0, 6.0, "path: clients, way: out, part: 0.4, size: 30"),
     ("reset", 0.2, 3.0, "path: log, part: 0.8"),
     ("reset", 0.1, 0.6, "path: caches, part: 0.4"),
     ("silent", 0.3, 1.5, "path: caches, way: in, part: 0.4"),
