--- a/quincepier/lab/fleet/relay.py
+++ b/quincepier/lab/fleet/relay.py
@@ -14,6 +14,7 @@
 import socket
 import sys
 import time
+from collections import deque
 from pathlib import Path
 from typing import Any
 
@@ -177,6 +178,7 @@
         self.stream, self.way = stream, way
         self.to: asyncio.Transport | None = None
         self.held: list[bytes] = []
+        self.under_way: deque[bytes] = deque()  # the oldest first
         self.size = self.pending = 0
         self.ended = False  # the giving side closed while nothing went through
 
@@ -194,10 +196,13 @@
             now = time.monotonic_ns()
             due = way.bytes_due(now, len(data), self.stream.pair.net.chance)
             self.pending += 1
-            asyncio.get_running_loop().call_later((due - now) / 1e9, self._go, data)
+            self.under_way.append(data)
+            asyncio.get_running_loop().call_later((due - now) / 1e9, self._go)
 
-    def _go(self, data: bytes) -> None:
+    def _go(self) -> None:
+        """What has been under way for longest arrives: two that are due together come in their order."""
         self.pending -= 1
+        data = self.under_way.popleft()
         if self.way.held:
             self.held.append(data)
             self.size += len(data)
