--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -14,8 +14,8 @@
 
 from quincepier.interface import AttemptOutcome
 from tests.attemptkit import BID, IMAGE, Inside, on_loop
-from tests.faulty_front import Plan, Rule
-from tests.standins import Asked, Client, Front, play, until
+from tests.faulty_front import Call, Plan, Rule
+from tests.standins import Asked, Behaviour, Client, Front, play, until
 
 ONE = ("s-1", "o-1")
 COMERS = 10
@@ -168,3 +168,24 @@
         assert (await client.ended(1)).status == 200
 
     play(tmp_path, {"s-1": hit, "p-1": hit, "o-1": hit}, scenario, plan=plan.text())
+
+
+@pytest.mark.fleet(5)
+@pytest.mark.parametrize("call", ["client.recv", "client.send"])
+@pytest.mark.parametrize("error", ["ENOMEM"])
+def test_a_client_whose_socket_fails_for_a_moment_keeps_its_connection(
+    tmp_path: Path, call: Call, error: str
+) -> None:
+    """Every other call on it fails so, for short and for large answers."""
+    plan = Plan(rules=(Rule(call, (error,), 0.5),))
+    caches: dict[str, Behaviour] = {"s-1": hit, "p-1": hit, "o-1": lambda asked: asked.data(bytes(240_000))}
+
+    async def scenario(front: Front) -> None:
+        client = await front.client()
+        for n in range(1, 31):
+            client.ask(n, "bid" if n % 10 == 0 else "lot-image")
+            got = await client.ended(n)
+            assert got.status == 200 and len(got.body) in (5, 240_000)
+        assert not client.closed
+
+    play(tmp_path, caches, scenario, plan=plan.text())
