After a long standstill the change log is asked anew before anything begins

Cause: only what lay in the sockets was heard first; a poll that ended while the process stood still has told nothing of what the log had after it, and requests went out by the state from before, past the grace of drains and purges.

Change: a pause of 0.3 s or more begins another poll at once, and no first byte goes out until that one is answered or has been silent for 60 ms, 0.25 s at most, as at a start.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -67,6 +67,7 @@
         sock = await listen_once_possible(self.config.listen, self.checks)
         listener = Listener(self.manager, sock)
         signals.tell(lambda: loop.call_soon_threadsafe(self._signalled))
+        self.module.means.pauses.catch_up = self.watch.catch_up
         self.module.means.pauses.start()
         self.module.begin()
         if self.keeper is not None:
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -254,7 +254,7 @@
                 await self.wake
                 continue
             if self.shared.means.pauses.is_settling(clock.now()):
-                await asyncio.sleep(0)  # what came in the pause is heard before anything begins
+                await self.shared.means.pauses.settled.wait()
                 continue
             what, command = self.outgoing[0]
             data = self._permitted(what, command)
--- a/quincepier/net/means.py
+++ b/quincepier/net/means.py
@@ -24,4 +24,7 @@
     module: Mailbox[ToModule]
     budget: MemoryBudget
     judge: Judge | None = None  # of addresses, where machines may have several
-    pauses: PauseDetector = field(default_factory=PauseDetector)
+    pauses: PauseDetector = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.pauses = PauseDetector(self.checks)
--- a/quincepier/net/watch.py
+++ b/quincepier/net/watch.py
@@ -10,11 +10,13 @@
 import contextlib
 import random
 import socket
+from typing import Any
 
 from quincepier import clock
 from quincepier.net.actor import Actor
 from quincepier.net.means import Means
 from quincepier.net.messages import News
+from quincepier.net.sockets import resolve
 from quincepier.net.watch_poll import Poll
 from quincepier.recovery import first_poll
 from quincepier.wire.changelog import BadRecord, ChangeEvent, decode_changes
@@ -49,6 +51,8 @@
         self.kept: socket.socket | None = None  # for the next poll
         self.moves = 0  # to another address
         self.reached = self.last  # as the newest poll began
+        self.behind_since = 0.0  # only what was asked since, by the loop's clock, tells of what is current
+        self.nudge: asyncio.Future[None] | None = None  # of the wait for a poll to end
         self.due = 0.0  # the next poll, by the loop's clock in seconds
         self.current = asyncio.Event()  # what the log had as this front started is told
         self.wait_ms = first_poll(self.random, POLL_MS)  # that the next poll asks for
@@ -79,6 +83,18 @@
             async with asyncio.timeout(START_WAITS):
                 await self.current.wait()
 
+    async def catch_up(self) -> None:
+        """After a long pause of the process: ask anew, and wait as at a start.
+
+        A poll that ended meanwhile has told nothing of what came after it.
+        """
+        self.behind_since = asyncio.get_running_loop().time()
+        self.current.clear()
+        self.due = 0.0
+        self._one_more()
+        resolve(self.nudge)
+        await self.up_to_date()
+
     async def run(self) -> None:
         """Poll for good."""
         try:
@@ -110,6 +126,10 @@
     def _quiet(self, poll: Poll) -> None:
         """So long after it was asked; what has begun, or has failed, is waited for."""
         if not poll.has_heard and not poll.task.done():
+            self._is_current(poll)
+
+    def _is_current(self, poll: Poll) -> None:
+        if poll.began >= self.behind_since:
             self.current.set()
 
     def _overdue_at(self) -> float:
@@ -127,8 +147,10 @@
             if ended or (left <= 0 and turns >= SETTLE_TURNS):
                 return ended
             if left > 0:
-                tasks = [poll.task for poll in self.polls]
-                await asyncio.wait(tasks, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+                self.nudge = loop.create_future()
+                ends: list[asyncio.Future[Any]] = [poll.task for poll in self.polls]
+                ends.append(self.nudge)
+                await asyncio.wait(ends, timeout=left, return_when=asyncio.FIRST_COMPLETED)
             else:  # as a standstill of the process ends, its answer may lie in the socket
                 turns += 1
                 await asyncio.sleep(0)
@@ -137,6 +159,9 @@
         """Another poll beside those that nothing is heard of."""
         why = "not up in time" if self.polls[-1].asked is None else "no answer in time"
         self._failed(self.polls[-1].began, f"TimeoutError: {why}, asked once more")
+        self._one_more()
+
+    def _one_more(self) -> None:
         if len(self.polls) >= MAX_POLLS:
             self.polls.pop(0).close()
         self._begin()
@@ -148,6 +173,7 @@
         moves = self.moves
         try:
             self._take(*decode_changes(poll.task.result(), self.means.judge))
+            self._is_current(poll)
             self.wait_ms, self.failures = POLL_MS, 0
             if self.last == self.reached and moves == self.moves:
                 self.due = poll.began + BACK_OFF  # a log that does not wait is not asked without a pause
@@ -192,7 +218,6 @@
             else:
                 self.module.urge(News(event, self.answered_at_ns))
             self.last, self.tries = event.seq, 0
-        self.current.set()
         if last > self.last and not events:
             self._again(f"events {self.last + 1} to {last} are missing")
             self.last, self.tries = last, 0
