Rules on first bytes are checked at run time; answers, attempts and departures are counted by kind

Change: an attempt keeps when its first byte went out and when it was revoked, a request when its client left; as an attempt ends the module checks both against its deadline and its window, whichever way it went out, and counts invariant_violated_* where a rule broke, which the soak's judge reads. A test that asks nobody is found on three of them. New counters: responses by status, attempts first, retried and by ending, requests left. The rig's judge does not time commands that the rig itself keeps under way (test_fleet's six fronts delay and silence that path).

--- a/quincepier/lab/fleet/evidence.py
+++ b/quincepier/lab/fleet/evidence.py
@@ -15,7 +15,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from quincepier.lab.experiment import MS, ORIGIN, SECOND, Experiment
+from quincepier.lab.experiment import MS, ORIGIN, SECOND, Experiment, Kind, NetPath, Way
 from quincepier.lab.judge import Judge
 from quincepier.lab.returns import FULL
 from quincepier.lab.tally import START, Figures, Tally
@@ -26,6 +26,8 @@
 CLAIM_FOR, CLAIM_LEAST, CLAIM_SHARE = 3 * SECOND, 20, 0.9  # a front's claim of full service; see _claims
 CLAIM_OPEN = SECOND // 2  # what came so shortly before a fault may be open as it strikes
 TOLD_AFTER = 7 * SECOND  # since the log has it
+HOLDING = frozenset((Kind.CUT, Kind.SILENT, Kind.DELAY, Kind.THROTTLE))  # what is said over a path
+HELD_AFTER = 1.0  # seconds after such a fault: what it kept is passed on then
 US = 1000
 FAULT_WORDS = ("invariant_violated_", "exception_in_", "Traceback")
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
@@ -122,6 +124,17 @@
         """On the judge's clock, on which the run begins at START."""
         return when - self.story.start + START
 
+    def _holds_commands(self, when: int) -> bool:
+        """Whether the rig keeps commands under way then: when they were begun is not seen."""
+        since = (when - self.story.start) / SECOND
+        return any(
+            fault.kind in HOLDING
+            and fault.path is NetPath.CACHES
+            and fault.way is not Way.IN
+            and fault.at <= since <= fault.at + fault.lasts + HELD_AFTER
+            for fault in self.experiment.faults
+        )
+
     def _stood(self, since: int, until: int) -> int:
         return sum(max(min(b, until) - max(a, since), 0) for a, b in self.stalls)
 
@@ -172,7 +185,8 @@
         self, when: int, job: int, front: int, machine: int, source: int, serial: int, wait_ms: int
     ) -> None:
         self.sent[serial] = (when, job)
-        self.judge.began(self._at(when), job, wait_ms * MS, self._stood(when - SECOND, when + SECOND))
+        if not self._holds_commands(when):
+            self.judge.began(self._at(when), job, wait_ms * MS, self._stood(when - SECOND, when + SECOND))
         self.judge.sent(self._at(when), job, front, machine, source or None)
 
     def _ran(self, when: int, job: int, machine: int) -> None:
--- a/quincepier/memory/open_requests.py
+++ b/quincepier/memory/open_requests.py
@@ -43,6 +43,7 @@
         number: Its number in the table; -1 before it is added.
         is_finished: It has its final response, or the client has gone.
         is_cancelled: The client closed or cancelled it; its connection sets this before the router is told.
+        left_at_ns: When that was; 0: it has not.
         tenant: Its tenant, where placement of tenants is in force.
         shard: The shard at which the tenant was placed.
         attempts: All attempts, in their order.
@@ -67,6 +68,7 @@
     number: int = -1
     is_finished: bool = False
     is_cancelled: bool = False
+    left_at_ns: int = 0
     tenant: str = ""
     shard: str = ""
     attempts: list[OpenAttempt] = field(default_factory=list)
@@ -75,6 +77,11 @@
         """Count from when it was read, where nothing else is known."""
         self.earliest_arrival_ns = self.earliest_arrival_ns or self.received_at_ns
 
+    def cancel(self, now_ns: int) -> None:
+        """Note that the client has closed or cancelled it: nothing begins for it from now on."""
+        if not self.is_cancelled:
+            self.is_cancelled, self.left_at_ns = True, now_ns
+
     def time_left(self, now_ns: int) -> int:
         """Return for how many ns its client still waits, 0 at least."""
         return max(self.allowed_ns - (now_ns - self.earliest_arrival_ns), 0)
@@ -94,6 +101,8 @@
         is_revoked: By a purge, or as its cache or source leaves: its first byte must not be sent.
         first_byte_deadline_ns: From then on its first byte would be a repeat that may do harm; 0 for none.
         deadline_ns: When nobody waits for its answer any more.
+        revoked_at_ns: When it was revoked; 0: it is not.
+        first_byte_at_ns: When its first byte went out; 0: none has.
     """
 
     request: OpenRequest
@@ -105,6 +114,13 @@
     is_revoked: bool = False
     first_byte_deadline_ns: int = 0
     deadline_ns: int = 0
+    revoked_at_ns: int = 0
+    first_byte_at_ns: int = 0
+
+    def revoke(self, now_ns: int) -> None:
+        """Note that its first byte must not be sent from now on; where it was, that is of no effect."""
+        if not self.is_revoked:
+            self.is_revoked, self.revoked_at_ns = True, now_ns
 
 
 class OpenRequestTable:
--- a/quincepier/net/client.py
+++ b/quincepier/net/client.py
@@ -123,7 +123,7 @@
             for outgoing in session.sending:
                 outgoing.release()
             for request in session.open.values():
-                request.is_cancelled = True
+                request.cancel(clock.now())
                 self._forget(request)
                 manager.module.push(Left(request))
         if self.writer is not None:
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -261,6 +261,7 @@
             if data is None:
                 continue
             try:
+                now = clock.now()
                 taken = sock.send(data)  # as sock_sendall begins; it would not tell whether any was taken
             except (BlockingIOError, InterruptedError):
                 await until_writable(sock)
@@ -272,6 +273,8 @@
                 continue
             if what is not None:
                 self.started.add(what)
+            if isinstance(what, OpenAttempt):
+                what.first_byte_at_ns = now
             if taken < len(data):
                 await send_all(sock, memoryview(data)[taken:])
             self.outgoing.popleft()
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -186,12 +186,15 @@
     def _leave(self, request: OpenRequest) -> None:
         """Its client is gone: nothing begins for it any more."""
         if not request.is_finished:
+            self.checks.count("requests_left")
             self.requests.finish(request)
             self._tell(io.ClientDisconnected(request.number))
 
     def _ended(self, end: Ended) -> None:
         attempt = end.attempt
         request = attempt.request
+        self._check_first_byte(attempt)
+        self.checks.count(f"attempts_ended_{end.ending.name.lower()}")
         if request.is_cancelled:  # heard before its Left, which may stand behind much else
             self._leave(request)
         event = attempt_ended(attempt, end)
@@ -214,6 +217,15 @@
         self.ages.observe(clock.unix(), now)
         return self.ages.age_of_news(purge.time_ms, now, unread_before)
 
+    def _check_first_byte(self, attempt: OpenAttempt) -> None:
+        """The rules on first bytes, whichever way it went out: none goes past policy/send_permission.py."""
+        first, left = attempt.first_byte_at_ns, attempt.request.left_at_ns
+        revoked, window = attempt.revoked_at_ns, attempt.first_byte_deadline_ns
+        self.checks.must(first <= attempt.deadline_ns, "first_byte_within_deadline")
+        self.checks.must(not 0 < left < first, "no_first_byte_after_client_left")
+        self.checks.must(not 0 < revoked < first, "no_first_byte_after_revocation")
+        self.checks.must(not 0 < window <= first, "no_first_byte_past_retry_window")
+
     def _news(self, event: ChangeEvent, scope: UpdateScope, unread_before: int = 0) -> None:
         if self.overrides is not None:
             self.overrides.on_change_log_read(event.seq, isinstance(event, FleetChange))
@@ -264,7 +276,7 @@
     def take_back(self, attempt: OpenAttempt) -> None:
         """From now on its first byte does not go out; where one has, that is of no effect."""
         if not attempt.is_ended and (cache := self.caches.get(attempt.cache)) is not None:
-            attempt.is_revoked = True
+            attempt.revoke(clock.now())
             cache.mailbox.push(Recall(attempt))
 
     def follow_addresses(self, section: AddressesSection) -> None:
@@ -336,6 +348,7 @@
         assert request is not None
         source = action.source if isinstance(action, io.FetchThrough) else -1
         attempt = self.requests.start_attempt(request, action.cache, now, source)
+        self.checks.count("attempts_retried" if attempt.number else "attempts_first")
         attempt.first_byte_deadline_ns = now + action.within if action.within else 0
         left = request.time_left(now)
         timeout = min(action.timeout, left) if action.timeout else left
@@ -356,6 +369,7 @@
             if self.overrides is not None:
                 self.overrides.on_response(request, answer.status)
             self.requests.finish(request)
+            self.checks.count(f"responses_{answer.status}")
             request.receiver.push(answer)
         elif answer.body is not None:
             answer.body.release()
--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -204,7 +204,7 @@
             session.control = deque(item for item in session.control if item[0] != stream)
         request = session.open.pop(stream, None)
         if request is not None:
-            request.is_cancelled = True
+            request.cancel(clock.now())
             self._forget(request)
             self.manager.module.push(Left(request))
 
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -8,8 +8,10 @@
 import pytest
 
 from quincepier import clock
+from quincepier.checks import Checks
 from quincepier.interface import AttemptOutcome
 from quincepier.memory.open_requests import OpenRequest
+from quincepier.net import connection
 from tests.attemptkit import BID, IMAGE, Clock, Dials, Inside, Wire, on_loop
 from tests.standins import until
 
@@ -150,3 +152,37 @@
         await inside.settled()
 
     on_loop(scenario)
+
+
+def test_what_goes_past_the_permission_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A front that asks nobody: its client has left, its time is over, its server leaves."""
+    broken: set[str] = set()
+
+    def must(self: Checks, holds: bool, invariant: str) -> bool:
+        if not holds:
+            broken.add(invariant)
+        return holds
+
+    monkeypatch.setattr(Checks, "must", must)
+    monkeypatch.setattr(connection, "find_denial", lambda *about: None)
+    dials, time = Dials(monkeypatch), Clock(monkeypatch)
+
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        left, revoked = inside.ask(BID, allowed_ns=ALLOWED), inside.ask(BID, allowed_ns=ALLOWED)
+        await dials.begun(2)
+        left.cancel(clock.now())
+        revoked.attempts[0].revoke(clock.now())
+        time.on(ALLOWED)
+        dials.let()
+        await until(lambda: len(inside.serves(left)) + len(inside.serves(revoked)) == 2, "both go out")
+        for wire in inside.machines["o-1"].wires:
+            wire.reset()
+        await until(lambda: bool(inside.endings(left) and inside.endings(revoked)), "both end")
+
+    on_loop(scenario)
+    assert broken >= {
+        "no_first_byte_after_client_left",
+        "no_first_byte_after_revocation",
+        "first_byte_within_deadline",
+    }
