Rig: a purge that has settled leaves no older copy; clients that garble

Traced: the purge was heard at 3.8 s and its copies were asked for with an age until 8 s; the rig's caches drop theirs one by one within 6 s, and one that had dropped its own took an older copy from a parent that had not, for a front whose log was cut until 7 s.

--- a/quincepier/lab/experiment.py
+++ b/quincepier/lab/experiment.py
@@ -147,6 +147,7 @@
     groups: Count = 32
     lost_ms: Positive = 50.0  # past its time: an answer that comes later is lost
     leaves: Share = 0.0  # of tries by processes: whose client aborts or closes before its time
+    garbles: Share = 0.0  # of tries by processes: over a new connection, what is no record behind them
     hurried: Share = 0.0  # of tries by processes: with a small part of their class's time
 
 
--- a/quincepier/lab/machines.py
+++ b/quincepier/lab/machines.py
@@ -99,6 +99,7 @@
     def __init__(self, host: Host, plan: Experiment, chance: random.Random) -> None:
         self.host, self.plan, self.chance = host, plan, chance
         self.all: dict[int, Machine] = {}
+        self.purged_before: dict[int, int] = {}  # by group: when it was purged, once that has settled
         self.made = 0
         fleet = plan.fleet
         for n in range(fleet.caches):
@@ -251,7 +252,7 @@
             if machine.filling.get(key) is mine:
                 del machine.filling[key]
             if minted is not None and minted >= 0 and machine.state == "up" and kept:
-                machine.store.put(key, minted)
+                self._keep(machine, key, minted)
             waiters, mine[:] = list(mine), []
             for one in waiters:
                 one(minted)
@@ -301,7 +302,7 @@
         def fetched(minted: int) -> None:
             if source.filling.get(key) is mine:
                 del source.filling[key]
-                source.store.put(key, minted)
+                self._keep(source, key, minted)
                 for one in mine:
                     one(minted)
 
@@ -363,8 +364,22 @@
         for machine in self.all.values():
             wait = int(self.chance.uniform(0, 1) * SETTLES)
             self.host.after(wait, self._sweep, machine, frozenset(chosen), self.host.now)
+        self.host.after(SETTLES, self._settle, frozenset(chosen), self.host.now)
         return chosen
 
+    def _settle(self, groups: frozenset[int], before: int) -> None:
+        """From now on no machine has an older copy or keeps one that comes later.
+
+        One that had dropped its own may have been filled with another's meanwhile.
+        """
+        self.purged_before.update(dict.fromkeys(groups, before))
+        for machine in self.all.values():
+            self._sweep(machine, groups, before)
+
+    def _keep(self, machine: Machine, key: Key, minted: int) -> None:
+        if minted >= self.purged_before.get(self.plan.group(key[0]), 0):
+            machine.store.put(key, minted)
+
     def _sweep(self, machine: Machine, groups: frozenset[int], before: int) -> None:
         for key, minted in list(machine.store.copies.items()):
             if minted < before and isinstance(key, tuple) and self.plan.group(key[0]) in groups:
