Failing test: a front restarted with its clock stepped back has no lease for an hour

Where fronts settle things together an incarnation is the Unix millisecond of the start; the leader ignores a lower one for good, so after a step of an hour back and a restart that front is cautious for an hour.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -140,3 +140,24 @@
     grant = LeaseGrant(7, 1, 1, 1000)
     assert decode_lease_request(encode_message(request)) == request
     assert decode_lease_grant(encode_message(grant)) == grant
+
+
+def test_a_front_that_restarts_with_its_clock_stepped_back_has_a_lease_once_the_earlier_one_is_over() -> None:
+    """Incarnations are told by the wall clock: the new one's is lower."""
+    leader = LeaseTable(0, TIMINGS, FIRST)
+    before, after = LeaseHolder(3_600_000, 0, TIMINGS, FIRST), LeaseHolder(7, 0, TIMINGS, FIRST)
+    assert leader.on_request(10 * MS, make_request(before, "a", 0), FOREVER) is not None
+    held_until = leader.lease_by_front["a"].idle_at_ns
+    assert leader.on_request(20 * MS, make_request(after, "a", 15 * MS), FOREVER) is None
+    assert leader.on_request(held_until - 1, make_request(after, "a", held_until - MS), FOREVER) is None
+    grant = leader.on_request(held_until + MS, make_request(after, "a", held_until), FOREVER)
+    assert grant is not None and after.on_grant(held_until + 2 * MS, grant, None) is False
+    assert grant.lease_ms == 1000 and not after.is_cautious(held_until + 3 * MS)
+
+
+def test_an_earlier_incarnation_that_goes_on_asking_keeps_a_lower_one_out() -> None:
+    leader = LeaseTable(0, TIMINGS, FIRST)
+    alive, other = LeaseHolder(3_600_000, 0, TIMINGS, FIRST), LeaseHolder(7, 0, TIMINGS, FIRST)
+    for now in range(0, 20_000 * MS, 500 * MS):
+        assert leader.on_request(now, make_request(alive, "a", now), FOREVER) is not None
+        assert leader.on_request(now + MS, make_request(other, "a", now), FOREVER) is None
