A lower incarnation of a front has its lease once the earlier one's has run out

Change: LeaseTable ignores a lower incarnation only while the earlier one may still hold a lease or have something open (idle_at_ns): after that it follows it, as a higher one does. A live process that goes on asking keeps it out. The heartbeat of pauses begins once the front serves, since the long turns of a start are no pause.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -67,8 +67,6 @@
         sock = await listen_once_possible(self.config.listen, self.checks)
         listener = Listener(self.manager, sock)
         signals.tell(lambda: loop.call_soon_threadsafe(self._signalled))
-        self.module.means.pauses.catch_up = self.watch.catch_up
-        self.module.means.pauses.start()
         self.module.begin()
         if self.keeper is not None:
             await self.keeper.restore()
@@ -87,6 +85,8 @@
             gc.collect()
             gc.freeze()
             gc.set_threshold(GC_AFTER, 10, 10)
+            self.module.means.pauses.catch_up = self.watch.catch_up
+            self.module.means.pauses.start()  # the long turns of a start are none
             await self.term.wait()
         if self.peers is not None:
             await self.peers.leave()
--- a/quincepier/rules/lease_table.py
+++ b/quincepier/rules/lease_table.py
@@ -158,9 +158,9 @@
         lease = self.lease_by_front.get(report.front)
         if lease is None:
             return self._add_front(now_ns, report)
-        if report.incarnation < lease.report.incarnation:
-            return None
-        if report.incarnation > lease.report.incarnation:
+        if report.incarnation < lease.report.incarnation and now_ns < lease.idle_at_ns:
+            return None  # late; or a start after the wall clock was stepped back, while another's lease runs
+        if report.incarnation != lease.report.incarnation:
             lease.begin_incarnation(now_ns, self._max_attempt_ns)
         elif request.token <= lease.last_token:
             return None
