--- a/quincepier/lab/fleet/load.py
+++ b/quincepier/lab/fleet/load.py
@@ -195,7 +195,7 @@
         connection.send(one, values)
         self.loop.call_later((one.due + PATIENT - now) / SECOND, self._give_up, connection, one)
         if self.rude.random() < self.experiment.load.leaves:
-            after = self.rude.random() * wait * MS / SECOND
+            after = self.rude.random() ** 3 * wait * MS / SECOND  # mostly soon
             how = self._leave if self.rude.random() < ABORTS else self._hang_up
             self.loop.call_later(after, how, connection, one)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import sys
 from collections.abc import Callable, Iterator
@@ -12,13 +13,16 @@
 from quincepier import __main__, policy
 from quincepier import interface as io
 from quincepier.lifecycle import front
-from quincepier.net import client
+from quincepier.memory.open_requests import OpenAttempt, OpenRequest
+from quincepier.net import client, connection, module
 from quincepier.net.clients import ConnectionManager
 from quincepier.net.listener import Listener
 from quincepier.net.reading import Reading
 from quincepier.net.session import Outgoing, Session
+from quincepier.policy import send_permission
 from quincepier.policy.slow_start import SlowStart
 from quincepier.wire import changelog, fastcgi, lines
+from quincepier.wire.lines import ServeCommand
 
 
 def twice() -> None:
@@ -96,6 +100,35 @@
     Reading._call = call  # type: ignore[method-assign]
 
 
+def more_than_is_left() -> None:
+    plain = send_permission.wait_ms
+    vars(connection)["wait_ms"] = lambda attempt, now_ns: plain(attempt, now_ns) + 400
+
+
+def begins_for_who_left() -> None:
+    """Each command that may run twice once more, 0.3 s after its client has left."""
+    commands: dict[OpenAttempt, ServeCommand] = {}
+    plain_send, plain_leave = connection.Connection.send, module.ModuleActor._leave
+
+    def send(self: connection.Connection, id: str, what: Any, command: Any) -> None:
+        if isinstance(command, ServeCommand):
+            commands[what] = command
+        plain_send(self, id, what, command)
+
+    def again(self: module.ModuleActor, attempt: OpenAttempt) -> None:
+        for one in self.caches[attempt.cache].connections[:1]:
+            one.write(None, commands[attempt].encode(1))
+
+    def leave(self: module.ModuleActor, request: OpenRequest) -> None:
+        for attempt in request.attempts:
+            if attempt in commands and not request.is_finished and request.class_name != "bid":
+                asyncio.get_running_loop().call_later(0.3, again, self, attempt)
+        plain_leave(self, request)
+
+    connection.Connection.send = send  # type: ignore[method-assign]
+    module.ModuleActor._leave = leave  # type: ignore[method-assign]
+
+
 FAULTS: dict[str, Callable[[], None]] = {
     "answer twice": twice,
     "bid repeated": bids,
@@ -104,6 +137,8 @@
     "cold pushed over": cold,
     "never answers": silent,
     "claims at once": claims,
+    "tells more than is left": more_than_is_left,
+    "begins for who left": begins_for_who_left,
     "restart: ends at once": restart_at_once,
     "restart: keeps its clients": restart_to_the_end,
     "restart: takes on to the end": restart_takes_on,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -196,7 +196,7 @@
 @pytest.mark.fleet(16)
 def test_the_judge_finds_each_wrong_front_by_its_rule_and_accuses_no_other(tmp_path: Path) -> None:
     wrong = {1: "answer twice", 2: "bid repeated", 3: "past the grace", 4: "purged copy", 5: "never answers",
-             6: "claims at once"}  # fmt: skip
+             6: "claims at once", 7: "tells more than is left", 8: "begins for who left"}  # fmt: skip
 
     def command(front: int) -> Sequence[str]:
         return (sys.executable, "-m", "tests.mutants", wrong[front]) if front in wrong else SERVE
@@ -204,8 +204,8 @@
     text = f"""
 name: wrong fronts
 seconds: 9
-fleet: {{zones: 1, fronts: 9, caches: 4, parents: 2, cache_sends: 12}}
-load: {{rate: 240, retries: 1}}
+fleet: {{zones: 1, fronts: 10, caches: 4, parents: 2, cache_sends: 12}}
+load: {{rate: 260, retries: 1, leaves: 0.3}}
 {CLASSES}
 faults:
   - {{at: 2, kind: purge, part: 1}}
@@ -218,7 +218,8 @@
     assert run.accused["purge"] == (4,)
     assert run.accused["claim"] == (6,)
     assert set(run.accused["answer"]) == {1, 5}
-    assert run.accused.keys() == {"answer", "effect", "drain", "purge", "claim"}
+    assert run.accused["begin"] == (7, 8)
+    assert run.accused.keys() == {"answer", "effect", "drain", "purge", "claim", "begin"}
 
 
 @pytest.mark.fleet(10)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,34 @@
+"""The soak in small: a few fronts, one drawn run; and that its draws are what they say."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from quincepier.lab.experiment import load
+from tests.soak import STRIKES, TOGETHER, experiment, holds, plan, play
+
+
+@pytest.mark.fleet(16)
+def test_a_drawn_run_keeps_the_rules(tmp_path: Path) -> None:
+    run = play(tmp_path, seed=2, fronts=6, seconds=12.0)
+    assert holds(run), (run.void, run.accused, run.figures.first_broken)
+    rules = run.figures.rules
+    assert all(rules.get(rule, 0) > 0 for rule in ("answer", "begin", "drain", "effect", "purge"))
+
+
+@pytest.mark.parametrize("seed", range(1, 40))
+def test_a_run_is_drawn_whole_from_its_seed(tmp_path: Path, seed: int) -> None:
+    text = experiment(seed, 24, 16.0)
+    (tmp_path / "one.yaml").write_text(text)
+    faults = load(str(tmp_path / "one.yaml")).faults
+    assert text == experiment(seed, 24, 16.0)
+    assert len(STRIKES) * TOGETHER[0] <= len(faults) <= len(STRIKES) * TOGETHER[1]
+    assert plan(seed, 3, 16.0) == plan(seed, 3, 16.0)
+
+
+def test_the_draws_overlap_in_time_and_reach_every_call() -> None:
+    plans = [plan(seed, front, 16.0) for seed in range(40) for front in range(24)]
+    assert len({rule.call for one in plans for rule in one.rules}) >= 9
+    assert any(one.steps for one in plans) and any(len(one.rules) == 3 for one in plans)
