--- a/quincepier/consistency/router_view.py
+++ b/quincepier/consistency/router_view.py
@@ -183,14 +183,14 @@
         """The router's own order of its caches for a key."""
         return [
             node.endpoint.cache
-            for node in self._router.placement.rank(self._router.placement.table.caches, key_hash)
+            for node in self._router.placement.rank_all(self._router.placement.table.caches, key_hash)
         ]
 
     def rank_parents(self, key_hash: int) -> Sequence[int]:
         """The router's own order of the parents for a key."""
         return [
             node.endpoint.cache
-            for node in self._router.placement.rank(self._router.placement.table.parents, key_hash)
+            for node in self._router.placement.rank_all(self._router.placement.table.parents, key_hash)
         ]
 
     def cached_rankings(self, limit: int) -> Iterator[CachedRanking]:
--- a/quincepier/policy/placement.py
+++ b/quincepier/policy/placement.py
@@ -14,6 +14,7 @@
 
 CROWDED, FETCH_LOAD = 0.6, 0.5  # of the slowing a class stands; a fetch at a quick cache waits for its source
 HOT_SHARE, HOT_REQUESTS = 0.25, 32  # of so many last requests of a cache, from which an object has two caches
+MAX_RANKED = 64  # of an order kept, as thousands may be listed; hardly ever may none of these be asked
 HIT_LIFETIME = 5 * SECOND  # how long a seen hit keeps an attempt from counting as a fetch (design)
 
 
@@ -32,17 +33,33 @@
         return change
 
     def rank(self, group: list[Upstream], key: int, home: HomeShard | None = None) -> list[Upstream]:
+        """The first of a key's order, kept until the list changes: a held request is looked at often."""
         at = key if home is None else (key, home.name)
-        if at not in self.rankings:  # kept until the list changes: a held request is looked at often
+        if at not in self.rankings:
             self.rankings = self.rankings if len(self.rankings) < MEMORY_MOST else {}
-            by_size = self.context.settings.sizes_compare and all(u.endpoint.size > 0 for u in group)
-            weights = {u: (u.endpoint.size if by_size else 1.0) / 2 ** (u.weight_step / 2) for u in group}
-            if home is not None:  # of all listed the home's, each by the draw that it always has
-                members = home.parents if group is self.table.parents else home.caches
-                group = [u for u in group if u.endpoint.cache in members]
-            self.rankings[at] = rank(key, weights, {u: u.endpoint.cache for u in group})
+            self.rankings[at] = self.rank_all(group, key, home, MAX_RANKED)
         return self.rankings[at]
 
+    def rank_all(
+        self, group: list[Upstream], key: int, home: HomeShard | None = None, count: int | None = None
+    ) -> list[Upstream]:
+        """A key's order, whole or its first `count`."""
+        by_size = self.context.settings.sizes_compare and all(u.endpoint.size > 0 for u in group)
+        weights = {u: (u.endpoint.size if by_size else 1.0) / 2 ** (u.weight_step / 2) for u in group}
+        if home is not None:  # of all listed the home's, each by the draw that it always has
+            members = home.parents if group is self.table.parents else home.caches
+            group = [u for u in group if u.endpoint.cache in members]
+        return rank(key, weights, {u: u.endpoint.cache for u in group}, count)
+
+    def usable(self, group: list[Upstream], key: int, req: Request, count: int) -> list[Upstream]:
+        """The first `count` that may be asked; beyond the kept part of the order where it has too few."""
+        ranked = self.rank(group, key, req.home)
+        found = list(islice((u for u in ranked if self.is_usable(u, req)), count))
+        if len(found) < count and len(ranked) == MAX_RANKED:
+            ranked = self.rank_all(group, key, req.home)
+            found = list(islice((u for u in ranked if self.is_usable(u, req)), count))
+        return found
+
     def reweigh(self) -> None:  # a slow one keeps its part by the square of its slowness
         for group in (self.table.caches, self.table.parents):
             usual = SLOW * min(factors := [u.slowness.factor(self.context.now) for u in group], default=1.0)
@@ -57,14 +74,13 @@
         return may and tried and self.slow_start.has_room(upstream)
 
     def find_cache(self, req: Request) -> Upstream | None:  # the first by hash; if hot the idler of two
-        ranked = self.rank(self.table.caches, req.key, req.home)
-        good = list(islice((u for u in ranked if self.is_usable(u, req)), 2))
+        good = self.usable(self.table.caches, req.key, req, 2)
         hot = len(good) > 1 and good[0].recent_objects.count(req.event.object) > HOT_SHARE * HOT_REQUESTS
         return min(good, key=lambda u: len(u.in_flight)) if hot else good[0] if good else None
 
     def find_source(self, req: Request) -> Upstream | None:  # by hash over all listed, else the origin
-        ranked = self.rank(self.table.parents, mix(req.event.object), req.home) + self.table.origins
-        return next((u for u in ranked if self.is_usable(u, req)), None)
+        parents = self.usable(self.table.parents, mix(req.event.object), req, 1)
+        return next((u for u in parents + self.table.origins if self.is_usable(u, req)), None)
 
     def is_crowded(self, cache: Upstream | None, req: Request) -> bool:  # whether one more would come late
         if cache is None:
