--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -436,3 +436,29 @@
         assert not manager.connections
 
     on_loop(scenario)
+
+
+def test_all_that_is_read_before_a_socket_is_empty_counts_from_when_its_first_byte_may_have_come(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a standstill a request is read byte by byte, in many turns of the loop."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        before, floors = clock.now(), [clock.now()]
+        monkeypatch.setattr(manager.pauses, "earliest_arrival", lambda now: floors.pop() if floors else now)
+        manager.scratch = manager.scratch[:1]
+        peer = Peer(manager)
+        peer.send(LATE)
+        await until(lambda: bool(taken(manager)), "it is read")
+        (message,) = manager.module.last
+        assert isinstance(message, Came) and message.request.earliest_arrival_ns <= clock.now()
+        assert before <= message.request.earliest_arrival_ns < message.request.received_at_ns
+        assert not floors
+        peer.send(call(3, params("3" * 16)))
+        await until(lambda: len(taken(manager)) == 2, "so is another")
+        later = manager.module.last[1]
+        assert isinstance(later, Came)
+        assert later.request.earliest_arrival_ns > message.request.received_at_ns, "it was empty between"
+
+    on_loop(scenario)
