What is read before a socket has been empty counts from when its first byte may have come

Change: the earliest arrival of a client connection's bytes is kept until a read finds its socket empty, over short reads, deferred turns and a row that is longer than one turn; how long it waited for its turn, by which a busy front refuses, is counted as before.

--- a/quincepier/lab/fleet/load.py
+++ b/quincepier/lab/fleet/load.py
@@ -68,7 +68,7 @@
         self.open: dict[int, Try] = {}
         self.free = list(range(STREAMS, 0, -1))
         self.transport: asyncio.Transport | None = None
-        self.idle = 0.0
+        self.idle, self.garbled = 0.0, False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         self.transport = transport
@@ -170,6 +170,7 @@
         except (OSError, TimeoutError):
             self._turned(one, "failed", 0, True)
             return
+        connection.garbled = garbles
         if not garbles:
             self.pools[one.front].append(connection)
         self._send(connection, one)
@@ -201,7 +202,9 @@
 
     def _leave(self, connection: Connection, one: Try) -> None:
         """Its client gives it up before its time."""
-        if not one.over:
+        if connection.garbled:  # nothing that it says is understood any more
+            self._hang_up(connection, one)
+        elif not one.over:
             connection.abort(one)
             self.notes.note("left", one.job)
             self._over(one, "failed", 0, -1)
--- a/quincepier/net/reading.py
+++ b/quincepier/net/reading.py
@@ -50,9 +50,13 @@
             self._mark_waiting()
 
     def _mark_waiting(self) -> None:
-        """There is something to read, and it is not read yet: its time counts from here."""
+        """There is something to read, and it is not read yet: its time counts from here.
+
+        Until the socket has been empty, all that is read may have been there from the first such moment on.
+        """
         if not self.queued_at:
             self.queued_at = clock.now()
+        if not self.earliest_arrival:
             self.earliest_arrival = self.manager.pauses.earliest_arrival(self.queued_at)
 
     def count_from(self, arrival_ns: int) -> None:
@@ -86,7 +90,8 @@
                 self._mark_waiting()
                 self.manager.read_on(self.itself)
         except (BlockingIOError, InterruptedError):
-            self.queued_at, self.emptied_at = 0, clock.now()
+            self.queued_at = self.earliest_arrival = 0
+            self.emptied_at = clock.now()
         except OSError as error:
             if is_momentary(error):
                 self._mark_waiting()
--- a/quincepier/net/writing.py
+++ b/quincepier/net/writing.py
@@ -63,7 +63,7 @@
         self.since = manager.active_clock.time
         self.held = self.faults = self.closing_at = 0
         self.queued_at = 0  # since when it stands in line to be read
-        self.earliest_arrival = 0  # of what is to be read, ns; later than `queued_at` it is not
+        self.earliest_arrival = 0  # of what is to be read, ns; 0: its socket was empty
         self.emptied_at = 0  # when it was last read until nothing was left, ns
         self.timer: Timer[tuple[ClientConnection, bool]] | None = None
 
