--- a/quincepier/memory/machine_directory.py
+++ b/quincepier/memory/machine_directory.py
@@ -131,6 +131,11 @@
         """Return all listed machines, as the router takes them."""
         return EndpointUpdate(UpdateScope.FULL, tuple(entry.machine for entry in self.entry_by_host.values()))
 
+    @property
+    def has_unlisted(self) -> bool:
+        """Whether numbers are kept of hosts that are not listed."""
+        return len(self.host_by_number) > len(self.entry_by_host)
+
     def forget_unlisted(self, used: Collection[int]) -> None:
         """Drop the numbers of hosts that are neither listed nor among the `used` numbers."""
         for number, host in list(self.host_by_number.items()):
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -135,6 +135,7 @@
         self.shared.descriptors.cache(1)
         connection = Connection(self)
         self.connections.append(connection)
+        self.shared.connected.add(self)
         connection.task = self.spawn(connection.run())
         return connection
 
@@ -143,6 +144,13 @@
         address, way = connection.address, self.way
         return address is not None and way is not None and way.resting(address)
 
+    def dropped(self, connection: Connection) -> None:
+        """It has ended."""
+        if connection in self.connections:
+            self.connections.remove(connection)
+        if not self.connections:
+            self.shared.connected.discard(self)
+
     def freed(self, connection: Connection) -> None:
         """It has nothing out: what waits for a dial goes over it; else the next attempt takes it first, and
 
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -222,8 +222,7 @@
         self.lost = True
         if self.absent:
             self.actor.ramp.failed()
-        if self in self.actor.connections:
-            self.actor.connections.remove(self)
+        self.actor.dropped(self)
         if self.body is not None:
             self.body.release()
             self.body = None
--- a/quincepier/net/shared.py
+++ b/quincepier/net/shared.py
@@ -25,6 +25,7 @@
         self.descriptors, self.module, self.make_room = means.descriptors, means.module, make_room
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.actors: dict[int, CacheActor] = {}
+        self.connected: set[CacheActor] = set()  # those that have connections; thousands may be listed
         self.dialer: Dialer | None = None  # where the operators' file has several addresses a machine
         self.stale: Callable[[], bool] | None = None  # whether what was decided before may not hold any more
         self.pool.on_release = self.freed
@@ -41,14 +42,13 @@
 
     def share(self) -> int:
         """How many connections one machine may have while others have some too."""
-        users = sum(1 for actor in self.actors.values() if actor.connections)
-        return max(self.descriptors.caches_most // (users + 1), 1)
+        return max(self.descriptors.caches_most // (len(self.connected) + 1), 1)
 
     def descriptor(self) -> bool:
         """Whether there is one for a connection more; the one unused for longest goes where there is none."""
         if self.descriptors.caches < self.descriptors.caches_most:
             return True
-        unused = [c for actor in self.actors.values() for c in actor.connections if c.unused]
+        unused = [c for actor in self.connected for c in actor.connections if c.unused]
         if unused:
             oldest = min(unused, key=lambda c: c.used)
             at_once = oldest.idle  # else its writer waits for the socket
--- a/tests/test_structures.py
+++ b/tests/test_structures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import Counter
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from quincepier.keys import mix, mix_each
 from quincepier.structures import (
     Backoff,
     Baseline,
@@ -212,3 +214,20 @@
     assert share["c"] / 4000 == pytest.approx(0.5, abs=0.03)
     without = {name: ids[name] for name in ("a", "b")}
     assert all(rank(key, weights, without) == [n for n in ranks[key] if n != "c"] for key in ranks)
+
+
+@pytest.mark.parametrize("count", [1, 2, 16, 64])
+@pytest.mark.parametrize("alike", [False, True])
+def test_the_first_of_many_ranks_are_those_of_the_whole_order(count: int, alike: bool) -> None:
+    chance = random.Random(count)
+    for nodes in (100, 256, 257, 900):
+        ids = {f"n{n}": n * 7919 + 1 for n in range(nodes)}
+        weights = {name: 1.0 if alike else chance.uniform(0.01, 100) for name in ids}
+        for _ in range(40):
+            key = chance.getrandbits(64)
+            assert rank(key, weights, ids, count) == rank(key, weights, ids)[:count]
+
+
+@given(st.integers(0, 2**64 - 1), st.lists(st.integers(0, 2**64 - 1), max_size=20))
+def test_hashes_of_many_are_those_of_each(first: int, seconds: list[int]) -> None:
+    assert mix_each(first, seconds) == [mix(first, second) for second in seconds]
