--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -14,8 +14,9 @@
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenAttempt
 from quincepier.net.actor import Actor
-from quincepier.net.connection import PROBE_WORDS, Connection, Probe
+from quincepier.net.connection import Connection
 from quincepier.net.messages import CallOff, Check, Checked, Ended, Recall, Send, ToCache
+from quincepier.net.probe import PROBE_WORDS, Probe
 from quincepier.net.shared import Shared
 from quincepier.policy.send_permission import find_denial
 from quincepier.recovery import Ramp
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
@@ -12,10 +11,12 @@
 from quincepier.interface import AttemptOutcome
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenAttempt
+from quincepier.net.probe import PROBE_WORDS, Probe
 from quincepier.net.sockets import (
     LOCAL_ERRORS,
     MOMENTARY_PAUSE,
     NO_BUFFER_PAUSE,
+    UNREACHABLE_ERRORS,
     ConnectFailedError,
     connect,
     is_momentary,
@@ -34,13 +35,6 @@
 
 READS = 8  # in a row
 GHOSTS_MOST = 256  # ids that were out on one connection; none of them goes out there again
-UNREACHABLE_ERRORS = frozenset((errno.EHOSTUNREACH, errno.EHOSTDOWN))  # of a connect
-PROBE_WORDS = {"well": AttemptOutcome.OK, "ill": AttemptOutcome.ERROR}
-
-
-class Probe:
-    def __init__(self, tag: str, at: int) -> None:
-        self.tag, self.at = tag, at
 
 
 class Connection:
@@ -89,10 +83,8 @@
         self.past(id)
         self.write(None, lines.cancel(id))
         # Nothing heard since it went out: the peer may have lost this connection. New ones try it.
-        silent = (
-            self.heard < attempt.started_at_ns
-            and clock.now() - attempt.started_at_ns > self.shared.config.dial_timeout
-        )
+        out_for = clock.now() - attempt.started_at_ns
+        silent = self.heard < attempt.started_at_ns and out_for > self.shared.config.dial_timeout
         self.doubtful = self.doubtful or silent
         if silent:
             self.against("silent", owed=True)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -20,6 +20,7 @@
 from quincepier.memory.open_requests import OpenAttempt, OpenRequest, OpenRequestTable
 from quincepier.net.actor import Actor
 from quincepier.net.cache import CacheActor
+from quincepier.net.cache_fleet import CacheFleet
 from quincepier.net.means import Means
 from quincepier.net.messages import (
     Answer,
@@ -41,7 +42,7 @@
 from quincepier.recovery import fronts_that_ask
 from quincepier.timers import Wheel
 from quincepier.translate import attempt_ended, purged, request_came, serve_fields
-from quincepier.wire.changelog import BadRecord, ChangeEvent, FleetChange, HostRecord, PurgeRecord
+from quincepier.wire.changelog import BadRecord, ChangeEvent, FleetChange, PurgeRecord
 from quincepier.wire.errors import ProtocolError
 from quincepier.wire.lines import ServeCommand
 
@@ -71,6 +72,7 @@
         self.shared = Shared(self.means, make_room)
         self.ages = EventAges(clock.unix(), clock.now())
         self.directory = MachineDirectory(config.zones, config.kinds, self._start_of)
+        self.fleet = CacheFleet(self.shared, self.directory, self._askers)
         self.requests = OpenRequestTable(budget.max_open_requests)
         self.caches: dict[int, CacheActor] = self.shared.actors
         self.timers: Wheel[tuple[int, int]] = Wheel(clock.now(), clock.MS)  # token, the request it is about
@@ -79,7 +81,6 @@
         self.later: deque[io.Event] = deque()
         self.router = Router(config.settings, config.seed, clock.now())
         self.standing = False
-        self.leaving: set[int] = set()  # off the list, kept until nothing is open there
         self.overrides: RouterOverrides | None = None  # where the operators' file has `agreement`
 
     def begin(self) -> None:
@@ -247,9 +248,9 @@
             self.standing = self.standing or event.whole
             self.told_of_list(news if self.overrides is None else self.overrides.override_list(news))
             if event.whole:
-                self._follow_list()
+                self.fleet.follow_all()
             else:
-                self._follow_changes(machine.cache for machine in news.machines)
+                self.fleet.follow_changes(machine.cache for machine in news.machines)
         elif isinstance(event, BadRecord):
             self.checks.event("change_log_record_invalid", event.why)
 
@@ -287,37 +288,7 @@
         """The operators tell other addresses or limits: they hold from the next dial on."""
         if self.shared.dialer is not None:
             self.shared.dialer.configure(section)
-            self._follow_list(anew=True)
-
-    def _follow_list(self, anew: bool = False) -> None:
-        """An actor for every machine on the list; those of machines off it end when nothing is open."""
-        listed = dict(self.directory.listed_hosts())
-        for number, record in listed.items():
-            self._follow(number, record, anew)
-        for number in self.caches.keys() - listed.keys():
-            self._let_leave(number)
-
-    def _follow_changes(self, numbers: Iterable[int]) -> None:
-        """The same for those that a change of the list names: thousands of others may be on it."""
-        for number in numbers:
-            entry = self.directory.find_entry(number)
-            if entry is not None:
-                self._follow(number, entry.record)
-            elif number in self.caches:
-                self._let_leave(number)
-
-    def _follow(self, number: int, record: HostRecord, anew: bool = False) -> None:
-        if number not in self.caches:
-            askers = self._askers(record.site)
-            self.caches[number] = CacheActor(self.shared, number, record.host, record.address, askers)
-            self.caches[number].start()
-        self.caches[number].move(record.address, record.dials, anew)
-        self.caches[number].leaving = False  # at once: a message could be read after it is listed again
-        self.leaving.discard(number)
-
-    def _let_leave(self, number: int) -> None:
-        self.caches[number].leaving = True
-        self.leaving.add(number)
+            self.fleet.follow_all(anew=True)
 
     def _askers(self, site: str) -> int:
         settings = self.config.settings
@@ -409,18 +380,7 @@
     # Upkeep
 
     def sweep(self, now: int, late: bool) -> None:
-        for cache in list(self.shared.connected):
-            cache.sweep(now, late)
-        for number in list(self.leaving):
-            cache = self.caches[number]
-            if not cache.out and not cache.connections and not len(cache.mailbox):
-                cache.cancel()
-                del self.caches[number]
-                self.leaving.discard(number)
-                if self.shared.dialer is not None:
-                    self.shared.dialer.forget(number)
-        if self.directory.has_unlisted:
-            self.directory.forget_unlisted(self.caches.keys())
+        self.fleet.sweep(now, late)
 
     def fail_open(self) -> None:
         """The process ends: what is still open is answered as failed, and the module told no more."""
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -19,6 +19,7 @@
 MOMENTARY_ERRORS = frozenset((errno.ENOBUFS, errno.ENOMEM))
 MOMENTARY_PAUSE = 0.005  # seconds until it is tried again
 LISTEN_WITHIN = 10.0  # seconds; a front is to be ready within 30
+UNREACHABLE_ERRORS = frozenset((errno.EHOSTUNREACH, errno.EHOSTDOWN))  # of a connect: nobody is there
 LOCAL_PAUSE, MAX_LOCAL_PAUSE = 0.01, 0.16  # seconds until such a connect is tried again, doubled each time
 NO_BUFFER_PAUSE = 0.005  # seconds between looks for a buffer to read into, where even the reserve is used up
 
--- a/tests/test_crossings_page.py
+++ b/tests/test_crossings_page.py
@@ -49,3 +49,15 @@
 )
 def test_a_row_without_its_test_is_found(test: str) -> None:
     assert len(faults(f"| a | b | {test} |")) == 1
+
+
+def test_the_page_of_rules_names_tests_that_are_there() -> None:
+    """docs/rules.md: each row names a test, or says that it is a gap."""
+    text = (ROOT / "docs" / "rules.md").read_text()
+    lines = [line for line in text.splitlines() if line.startswith("|") and not line.startswith("| ---")][1:]
+    assert len(lines) > 25
+    for line in lines:
+        named = NAMED.findall(line)
+        assert named or "gap" in line, line
+        for file, name in named:
+            assert (ROOT / file).is_file() and (not name or name in functions(file)), (file, name)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -270,7 +270,7 @@
         bad = await front.client()
         bad.send(b"\x07 this is no FastCGI")
         await until(lambda: bad.closed, "the broken connection is closed")
-        assert front.logged("client_protocol_error")
+        await until(lambda: front.logged("client_protocol_error"), "its line is read")
 
     play(tmp_path, fleet(silent), scenario)
 
