Failing tests: an attempt called off ends before its cancel is out

An attempt that is called off is told as ended in the turn in which its cancel is queued; behind a socket that takes nothing, or on a connection that is about to close, the cancel goes out after what is sent in its place.

--- a/tests/test_crossings_commands.py
+++ b/tests/test_crossings_commands.py
@@ -14,6 +14,7 @@
 from quincepier.memory.open_requests import OpenRequest
 from quincepier.net import sockets
 from quincepier.net.connection import Connection
+from quincepier.net.messages import CallOff
 from tests.attemptkit import BID, LARGE, Inside, Wire, on_loop
 from tests.standins import until
 
@@ -169,3 +170,44 @@
         await inside.settled()
 
     on_loop(scenario)
+
+
+class Unwilling(socket.socket):
+    """Takes no byte as long as the test says so."""
+
+    takes_nothing = False
+
+    def send(self, data: object, flags: int = 0) -> int:
+        if Unwilling.takes_nothing:
+            raise BlockingIOError
+        return super().send(data, flags)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("end", ["written", "closed"])
+def test_an_attempt_called_off_has_ended_once_its_cancel_is_out_or_its_connection_closed(
+    monkeypatch: pytest.MonkeyPatch, end: str
+) -> None:
+    """Where no second copy is allowed, none begins before the first has been given up at its machine."""
+    monkeypatch.setattr(socket, "socket", Unwilling)
+
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        request = inside.ask(BID)
+        wire = await inside.out(request)
+        monkeypatch.setattr(Unwilling, "takes_nothing", True)
+        inside.cache("o-1").mailbox.push(CallOff(request.attempts[0]))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert inside.endings(request) == []
+        if end == "closed":
+            wire.close()
+        else:
+            monkeypatch.setattr(Unwilling, "takes_nothing", False)
+        await until(lambda: bool(inside.endings(request)), "it has ended")
+        assert inside.endings(request) == [AttemptOutcome.CANCELLED]
+        monkeypatch.setattr(Unwilling, "takes_nothing", False)
+        assert inside.cancels(request) == (end == "written")
+        await inside.status(request)
+        await inside.settled()
+
+    on_loop(scenario)
