A cancel goes out in the turn in which its attempt ends

Cause: the cancel was queued for the connection's writer and the end told at once, so that what was sent in its place could be out before it; on a connection about to close the cancel never went out and the close came turns later.

Change: where the socket takes it the cancel is written before the end is told; on a connection that is about to close the end is told once it is closed; cancels are not held after a standstill.

--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -179,9 +179,10 @@
     def _give_up(self, what: OpenAttempt | Probe, ending: AttemptOutcome) -> None:
         if what in self.out:
             id, connection = self.out[what]
-            if isinstance(what, OpenAttempt):
-                connection.give_up(id, what)
-            else:
+            if isinstance(what, OpenAttempt) and not connection.give_up(id, what, ending):
+                self._over(what)
+                return
+            if isinstance(what, Probe):
                 connection.open.pop(id, None)
                 connection.past(id)
             self.ended(what, ending, clock.now())
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
@@ -47,6 +48,7 @@
         self.ghosts: OrderedDict[str, None] = OrderedDict()
         self.outgoing: deque[tuple[OpenAttempt | Probe | None, ServeCommand | bytes]] = deque()
         self.started: set[OpenAttempt | Probe] = set()  # those of whose command a byte may have been read
+        self.cancelling: list[tuple[OpenAttempt, AttemptOutcome]] = []  # called off by the close under way
         self.wake: asyncio.Future[None] | None = None
         self.lost = self.doubtful = self.absent = self.begun = False
         self.heard = 0
@@ -71,23 +73,39 @@
         self.used = clock.now()
         resolve(self.wake)
 
-    def give_up(self, id: str, attempt: OpenAttempt) -> None:
-        """The attempt is over on our side: it is not sent if it has not been, else called off."""
+    def give_up(self, id: str, attempt: OpenAttempt, ending: AttemptOutcome) -> bool:
+        """The attempt is over on our side: it is not sent if it has not been, else called off.
+
+        Returns whether it has ended so; on a connection about to close that is told once it is closed.
+        """
         self.open.pop(id, None)
         if attempt not in self.started:
             self.outgoing = deque(item for item in self.outgoing if item[0] is not attempt)
             if self.sock is None and not self.open and self.actor.way is not None:
                 self.close()  # nobody waits for its race
-            return
+            return True
         self.started.discard(attempt)
         self.past(id)
-        self.write(None, lines.cancel(id))
+        if self.lost:
+            self.cancelling.append((attempt, ending))
+            return False
+        self._cancel(lines.cancel(id))
         # Nothing heard since it went out: the peer may have lost this connection. New ones try it.
         out_for = clock.now() - attempt.started_at_ns
         silent = self.heard < attempt.started_at_ns and out_for > self.shared.config.dial_timeout
         self.doubtful = self.doubtful or silent
         if silent:
             self.against("silent", owed=True)
+        return True
+
+    def _cancel(self, command: bytes) -> None:
+        """In this turn where the socket takes it: what is sent in its place comes after it."""
+        taken = 0
+        if self.sock is not None and not self.outgoing:
+            with contextlib.suppress(OSError):  # it waits, or its reader hears that the connection is broken
+                taken = self.sock.send(command)
+        if taken < len(command):
+            self.write(None, command[taken:])
 
     def take_waiting(self, other: Connection) -> tuple[str, OpenAttempt | Probe, ServeCommand | bytes] | None:
         """The first that waits for this dial and may go over the other connection: it waits here no more."""
@@ -229,6 +247,9 @@
             else:
                 other = begun and self.address is not None and way.another(self.address)
                 self.actor.broken(id, what, begun, self.absent, unwritten.get(what), other)
+        for attempt, ending in self.cancelling:  # the close has called them off
+            self.actor.ended(attempt, ending, clock.now())
+        self.cancelling.clear()
         self.started.clear()
         self.outgoing.clear()
 
@@ -244,10 +265,10 @@
                 self.wake = loop.create_future()
                 await self.wake
                 continue
-            if self.shared.means.pauses.is_settling(clock.now()):
-                await self.shared.means.pauses.settled.wait()
-                continue
             what, command = self.outgoing[0]
+            if what is not None and self.shared.means.pauses.is_settling(clock.now()):
+                await self.shared.means.pauses.settled.wait()  # what came in the pause is heard before
+                continue
             data = self._permitted(what, command)
             if data is None:
                 continue
--- a/tests/test_crossings_commands.py
+++ b/tests/test_crossings_commands.py
@@ -211,3 +211,41 @@
         await inside.settled()
 
     on_loop(scenario)
+
+
+def test_the_cancel_of_an_attempt_is_out_in_the_turn_in_which_it_ends() -> None:
+    """What is sent in its place, over whatever connection, comes after it."""
+
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        request = inside.ask(BID)
+        await inside.out(request)
+        cache = inside.cache("o-1")
+        cache.safely(CallOff(request.attempts[0]))
+        assert request.attempts[0].is_ended and inside.cancels(request) == 1
+        await inside.status(request)
+        await inside.settled()
+
+    on_loop(scenario)
+
+
+def test_an_attempt_called_off_as_its_connection_closes_has_ended_once_it_is_closed() -> None:
+    async def scenario() -> None:
+        inside = Inside(ONE)
+        request = inside.ask(BID)
+        wire = await inside.out(request)
+        cache = inside.cache("o-1")
+        (connection,) = cache.connections
+        (attempt,) = request.attempts
+        connection.lost = True  # its end has been read in this turn
+        cache.safely(CallOff(attempt))
+        assert not attempt.is_ended
+        wire.close()
+        await until(lambda: attempt.is_ended, "it has ended")
+        assert connection.sock is not None and connection.sock.fileno() < 0, "the socket was closed before"
+        await until(lambda: bool(inside.endings(request)), "it is told")
+        assert inside.endings(request) == [AttemptOutcome.CANCELLED]
+        await inside.status(request)
+        await inside.settled()
+
+    on_loop(scenario)
