--- a/review/kit.py
+++ b/review/kit.py
@@ -114,6 +114,8 @@
         return time.monotonic() - self.started
 
     def note(self, what: str, **facts: Any) -> None:
+        if self.file.closed:  # a stand-in that ends after the case
+            return
         text = " ".join(f"{name}={value}" for name, value in facts.items())
         self.file.write(f"{self.now():9.4f} {what} {text}\n")
 
