--- a/review/kit.py
+++ b/review/kit.py
@@ -106,7 +106,7 @@
     """The record of a case: one line for each thing sent, answered or run, with seconds since the start."""
 
     def __init__(self, path: Path) -> None:
-        self.file = path.open("w", encoding="utf-8", buffering=1)
+        self.file = path.open("w", encoding="utf-8")
         self.started = time.monotonic()
         self.note("case", folder=path.parent.name, trouble=has_trouble())
 
