Responses wait in line for buffers; a client that reads is not closed for them

Cause: a response that found too few buffers called ConnectionManager.free_buffers at once, which closed the connection inactive longest, however short that was. Bodies also kept all their buffers until their last byte was encoded.

Change: BodyAllocator gives out bodies in the order of requests; the connection of one that waits is not read, so TCP holds the cache back. Buffers return as they are encoded. Only a client whose socket took no byte for 0.5 s has unbegun responses failed (in its inbox too), and only one that took none for 2 s and has no open request is closed. What it sends does not count as reading. The callback chain free_buffers is gone.

Related paths: a read buffer is no longer held during the wait (waiting connections could use up what bodies may use); a cancelled attempt's response waits no longer; the wait is no latency of the cache, no silence of its connection and no reason to eject it. test_memory asks for chunks as they are taken, and that each buffer is free then.

--- a/quincepier/interface.py
+++ b/quincepier/interface.py
@@ -325,6 +325,19 @@
     cache: int
 
 
+@dataclass(slots=True, frozen=True)
+class ResponseDelayed:
+    """The response of an attempt has begun to arrive, but this front has no buffers for the rest of it yet.
+
+    Attributes:
+        request: The request's number.
+        attempt: Index of the attempt among the request's attempts.
+    """
+
+    request: int
+    attempt: int
+
+
 @dataclass(slots=True)
 class AttemptCompleted:
     """An attempt has completed.
@@ -519,6 +532,7 @@
     | RequestReceived
     | TimerFired
     | ResponseStarted
+    | ResponseDelayed
     | AttemptCompleted
     | ClientDisconnected
     | HealthCheckCompleted
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -76,9 +76,7 @@
         self.descriptors = Descriptors(config.sockets)
         reserve = self.descriptors.max_clients + self.descriptors.max_outbound
         self.pool = BufferPool(budget.max_buffers, min(reserve, budget.max_buffers // 2))
-        self.module = ModuleActor(
-            config, self.checks, self.pool, self.descriptors, self._free_buffers, budget
-        )
+        self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, budget)
         if operators is not None:
             operators.configure_addresses(self.module)
         client_limits = operators.client_connection_limits if operators is not None else None
@@ -96,9 +94,6 @@
         self.stop_requested = asyncio.Event()
         self.max_loop_lag_ns = 0
 
-    def _free_buffers(self) -> None:
-        self.connection_manager.free_buffers()
-
     async def serve(self) -> None:
         """Serve until a SIGTERM or SIGINT and the drain after it.
 
--- a/quincepier/memory/buffer_pool.py
+++ b/quincepier/memory/buffer_pool.py
@@ -82,14 +82,15 @@
             self.length += size
             copied += size
 
-    def chunks(self) -> Iterator[memoryview]:
-        """Yield the bytes, one view a buffer."""
-        remaining = self.length
-        for buffer in self.buffers:
-            if remaining <= 0:
-                break
-            yield memoryview(buffer)[: min(remaining, BUFFER_SIZE)]
-            remaining -= BUFFER_SIZE
+    def take_chunks(self) -> Iterator[memoryview]:
+        """Yield the bytes, one view a buffer; a buffer goes back to the pool when the next one is taken."""
+        while self.length > 0:
+            size = min(self.length, BUFFER_SIZE)
+            yield memoryview(self.buffers[0])[:size]
+            if not self.buffers:  # released in the meantime
+                return
+            self.length -= size
+            self.pool.release([self.buffers.pop(0)])
 
     def release(self) -> None:
         """Give the buffers back to the pool; calling it again has no effect."""
--- a/quincepier/memory/open_requests.py
+++ b/quincepier/memory/open_requests.py
@@ -132,6 +132,7 @@
         revoked_at_ns: When it was revoked; 0 if it was not.
         first_byte_at_ns: When its first byte was sent; 0 if it was not.
         closed_at_ns: When it was closed; 0 if it was not.
+        paused_ns: How long this front did not read its connection, for want of buffers.
     """
 
     request: OpenRequest
@@ -146,6 +147,7 @@
     revoked_at_ns: int = 0
     first_byte_at_ns: int = 0
     closed_at_ns: int = 0
+    paused_ns: int = 0
     state: AttemptState = AttemptState.QUEUED
 
     @property
--- a/quincepier/net/actor_dependencies.py
+++ b/quincepier/net/actor_dependencies.py
@@ -9,6 +9,7 @@
 from quincepier.memory.buffer_pool import BufferPool
 from quincepier.memory.memory_budget import MemoryBudget
 from quincepier.net.actor import Mailbox
+from quincepier.net.body_allocator import BodyAllocator
 from quincepier.net.messages import ToModule
 from quincepier.net.process_pause import PauseDetector
 from quincepier.net.sockets import Descriptors
@@ -29,6 +30,7 @@
         parse_address: Parses an address in a change-log record; None unless the operator's file has the
             section `addresses`, by which a machine may have several addresses.
         pause_detector: Detects that the process did not run for a while.
+        body_allocator: Allocates response bodies from the buffer pool.
     """
 
     config: FrontConfig
@@ -39,7 +41,9 @@
     memory_budget: MemoryBudget
     parse_address: AddressParser | None = None
     pause_detector: PauseDetector = field(init=False)
+    body_allocator: BodyAllocator = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the pause detector, which reports to the same checks."""
+        """Create the pause detector and the allocator of bodies, which report to the same checks."""
         self.pause_detector = PauseDetector(self.checks)
+        self.body_allocator = BodyAllocator(self.buffer_pool, self.checks)
--- a/quincepier/net/cache.py
+++ b/quincepier/net/cache.py
@@ -20,6 +20,7 @@
     AttemptFinished,
     CancelCommand,
     HealthCheckFinished,
+    ResponseDelayed,
     RevokeCommand,
     RunHealthCheck,
     SendCommand,
@@ -280,6 +281,10 @@
         if (timer := self.timers.pop(exchange, None)) is not None:
             timer.cancel()
 
+    def on_response_delayed(self, attempt: OpenAttempt) -> None:
+        """Report that a response has begun to arrive and waits for buffers."""
+        self.context.module_mailbox.push(ResponseDelayed(attempt))
+
     def complete_without_response(
         self,
         exchange: OpenAttempt | Probe,
--- a/quincepier/net/cache_connection_context.py
+++ b/quincepier/net/cache_connection_context.py
@@ -1,14 +1,12 @@
-"""State that the actors of all caches share: connections, descriptors, and the queue for buffers."""
+"""State that the actors of all caches share: connections, descriptors and buffers."""
 
 from __future__ import annotations
 
-import asyncio
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from quincepier.config import FrontConfig
-from quincepier.memory.buffer_pool import PooledBody
 from quincepier.net.actor_dependencies import ActorDependencies
 from quincepier.net.sockets import close_at_once
 
@@ -23,11 +21,10 @@
 
     Args:
         dependencies: What all actors of the front share.
-        free_buffers: Frees buffers of the slowest client, by failing its responses or closing its connection.
 
     Attributes:
         module_mailbox: Mailbox of the router's actor.
-        buffer_waiters: Resolved, in order, when buffers are released.
+        body_allocator: Allocates the bodies of responses.
         actor_by_number: The actors, by machine number.
         connected_actors: Actors that have a connection. Thousands of machines may be listed, few are in use.
         connections_by_last_use: All connections, the least recently used first.
@@ -36,37 +33,25 @@
             that queued attempts may no longer be permitted; None without agreement between fronts.
     """
 
-    def __init__(self, dependencies: ActorDependencies, free_buffers: Callable[[], None]) -> None:
+    def __init__(self, dependencies: ActorDependencies) -> None:
         self.dependencies, self.checks, self.pool = (
             dependencies,
             dependencies.checks,
             dependencies.buffer_pool,
         )
-        self.descriptors, self.module_mailbox, self.free_buffers = (
-            dependencies.descriptors,
-            dependencies.module_mailbox,
-            free_buffers,
-        )
-        self.buffer_waiters: deque[asyncio.Future[None]] = deque()
+        self.descriptors, self.module_mailbox = dependencies.descriptors, dependencies.module_mailbox
+        self.body_allocator = dependencies.body_allocator
         self.actor_by_number: dict[int, CacheActor] = {}
         self.connected_actors: set[CacheActor] = set()
         self.connections_by_last_use: OrderedDict[Connection, None] = OrderedDict()
         self.dialer: Dialer | None = None
         self.are_decisions_stale: Callable[[], bool] | None = None
-        self.pool.on_release = self.on_buffers_released
 
     @property
     def config(self) -> FrontConfig:
         """The current configuration."""
         return self.dependencies.config
 
-    def on_buffers_released(self) -> None:
-        """Wake everyone who waits for buffers."""
-        while self.buffer_waiters:
-            waiter = self.buffer_waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-
     def connection_limit(self) -> int:
         """Return how many connections one machine may have, as a fair share of the descriptors."""
         return max(self.descriptors.max_outbound // (len(self.connected_actors) + 1), 1)
@@ -89,13 +74,3 @@
             oldest.has_reader = False
             close_at_once(oldest.sock)
         return True
-
-    async def allocate_body(self, length: int) -> PooledBody:
-        """Return buffers for `length` bytes; waits until the pool has them."""
-        while (body := PooledBody.allocate(self.pool, length)) is None:
-            self.checks.count("buffer_waits")
-            self.free_buffers()
-            waiter = asyncio.get_running_loop().create_future()
-            self.buffer_waiters.append(waiter)
-            await waiter
-        return body
--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -182,11 +182,15 @@
 
     def fail_unstarted_responses(self) -> int:
         """Turn the responses with a body of which no byte was written into failures; return their number."""
-        outgoing = self.session.outgoing if self.session is not None else ()
-        unstarted = [o for o in outgoing if o.body is not None and not o.is_started]
-        for response in unstarted:
+        if self.session is None:
+            return 0
+        unstarted = [o for o in self.session.outgoing if o.body is not None and not o.is_started]
+        queued = [r for r in self.session.inbox if r.body is not None]
+        for outgoing in unstarted:
+            outgoing.fail()
+        for response in queued:
             response.fail()
-        return len(unstarted)
+        return len(unstarted) + len(queued)
 
     def _update_state(self) -> None:
         """After each read or write: drop the session of an idle connection, or close one that is to close."""
--- a/quincepier/net/client_session.py
+++ b/quincepier/net/client_session.py
@@ -18,7 +18,7 @@
     Attributes:
         stream_id: The request's id on its connection.
         keep_open: Whether the connection stays open after the response.
-        body: The response's body; None once it was released.
+        body: The response's body, whose buffers are released as they are encoded; None once it was released.
         is_started: Whether a record was taken from `records`.
         records: The encoded STDOUT records still to be written.
     """
@@ -29,7 +29,7 @@
 
     def _encode(self, head: bytes) -> Iterator[bytes]:
         self.is_started = True
-        chunks = self.body.chunks() if self.body is not None else iter(())
+        chunks = self.body.take_chunks() if self.body is not None else iter(())
         first = next(chunks, memoryview(b""))
         lead = first[: fastcgi.MAX_RECORD_CONTENT - len(head)]
         yield fastcgi.encode_record(fastcgi.STDOUT, self.stream_id, head + bytes(lead))
--- a/quincepier/net/client_write_side.py
+++ b/quincepier/net/client_write_side.py
@@ -45,6 +45,7 @@
             connection; owed responses are still written.
         write_task: Writes what the socket did not take at once.
         last_activity_ns: When bytes were last sent or received.
+        last_sent_ns: When the socket last took bytes.
         accepted_at: When the connection was admitted, by the manager's active clock, ns.
         partial_bytes: Bytes of incomplete requests that are counted in the manager's `body_bytes`.
         bad_request_count: Requests that could not be used.
@@ -68,6 +69,7 @@
         "is_read_closed",
         "is_reading",
         "last_activity_ns",
+        "last_sent_ns",
         "manager",
         "partial_bytes",
         "readable_since_ns",
@@ -86,7 +88,7 @@
         ) = self.is_flush_scheduled = False
         self.is_read_closed = False
         self.write_task: asyncio.Task[None] | None = None
-        self.last_activity_ns = clock.now()
+        self.last_activity_ns = self.last_sent_ns = clock.now()
         self.accepted_at = manager.active_clock.time
         self.partial_bytes = self.bad_request_count = self.closing_since = 0
         self.readable_since_ns = 0
@@ -192,7 +194,8 @@
                 if not is_transient(error):
                     raise
                 sent = 0
-            self.last_activity_ns = clock.now() if sent else self.last_activity_ns
+            if sent:
+                self._note_sent()
             if sent < len(batch):
                 self.write_task = asyncio.get_running_loop().create_task(self._write_remaining(batch[sent:]))
                 break
@@ -206,8 +209,7 @@
         """Wait until the socket has taken `data`, then flush again."""
         is_broken = False
         try:
-            await send_all(self.sock, data)
-            self.last_activity_ns = clock.now()
+            await send_all(self.sock, data, self._note_sent)
         except OSError:
             self.manager.checks.count("client_connections_reset")
             is_broken = True
@@ -219,6 +221,9 @@
             else:
                 self._flush()
 
+    def _note_sent(self) -> None:
+        self.last_activity_ns = self.last_sent_ns = clock.now()
+
     def _next_batch(self, session: ClientSession) -> bytes:
         """Return the next bytes to send: a record of each response in turn, so that large ones delay none."""
         batch = bytearray().join(data for _, data in session.short_responses)
--- a/quincepier/net/connection.py
+++ b/quincepier/net/connection.py
@@ -11,6 +11,7 @@
 from quincepier.interface import AttemptOutcome
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenAttempt
+from quincepier.net.body_allocator import BodyFuture
 from quincepier.net.command_writer import CommandStalledError, CommandWriter, PendingCancel
 from quincepier.net.connect_failures import count_connect_failure
 from quincepier.net.probe import OUTCOME_BY_PROBE_RESPONSE, Probe
@@ -67,6 +68,8 @@
         is_discarding: The response being read belongs to no awaited exchange and is dropped.
         body: Buffers of the response being read.
         head: First line of the response being read.
+        body_waiter: Set while that response waits for buffers; nothing is read meanwhile.
+        paused_at: When that wait began, ns.
         task: The task of `run`.
         readable: Resolved when the socket can be read.
         has_reader: The event loop watches the socket for reading.
@@ -89,6 +92,8 @@
         self.is_discarding = False
         self.body: PooledBody | None = None
         self.head: lines.ResponseHead | None = None
+        self.body_waiter: BodyFuture | None = None
+        self.paused_at = 0
         self.task: asyncio.Task[None] | None = None
         self.readable: asyncio.Future[None] | None = None
         self.has_reader: bool = False
@@ -129,8 +134,13 @@
         is_silent = (
             self.last_read_at < attempt.started_at_ns < now - self.context.config.dial_timeout
             and not self.is_closing
+            and self.body_waiter is None
         )
         self.touch(now)
+        if self.body_waiter is not None:
+            attempt.paused_ns += now - max(self.paused_at, attempt.started_at_ns)
+            if self.head is not None and self.head.id == id:
+                self.context.body_allocator.withdraw(self.body_waiter)
         self.writer.cancel(None if self.is_closing else self.sock, attempt, outcome)
         if attempt.request.is_finished and not attempt.is_completed:
             self.actor.complete_without_response(attempt, outcome, now)
@@ -367,8 +377,8 @@
     async def _read(self, sock: socket.socket) -> None:
         """Read responses until the connection ends.
 
-        A buffer is held only while bytes are processed, not while waiting for them: otherwise idle
-        connections would use up the pool and a new one could not read its response. The socket is read until
+        A buffer is held only while bytes are processed, not while waiting for them or for a body's buffers:
+        otherwise waiting connections would use up the pool. The socket is read until
         it has no more bytes before it is waited for: the event loop stops watching a socket that was reset
         with bytes unread.
         """
@@ -383,12 +393,13 @@
             while True:
                 while (buffers := pool.acquire()) is None:
                     await asyncio.sleep(NO_BUFFER_PAUSE_S)
+                undecoded = b""
                 try:
                     view = memoryview(buffers[0])
                     size = sock.recv_into(view)
                     if not size:
                         break
-                    await self._process_bytes(decoder, view[:size])
+                    undecoded = self._process_bytes(decoder, view[:size])
                     consecutive_reads += 1
                 except (BlockingIOError, InterruptedError):
                     consecutive_reads = 0
@@ -399,6 +410,9 @@
                     await asyncio.sleep(TRANSIENT_ERROR_PAUSE_S)
                 finally:
                     pool.release(buffers)
+                while self.body_waiter is not None:
+                    await self._wait_for_body(self.body_waiter)
+                    undecoded = self._process_bytes(decoder, memoryview(undecoded))
                 if not consecutive_reads:
                     await self._wait_until_readable(loop, sock)
                 elif consecutive_reads % MAX_CONSECUTIVE_READS == 0:
@@ -427,14 +441,17 @@
             self.has_reader = False
             loop.remove_reader(sock)
 
-    async def _process_bytes(self, decoder: lines.Decoder, data: memoryview) -> None:
+    def _process_bytes(self, decoder: lines.Decoder, data: memoryview) -> bytes:
+        """Handle what was read; return a copy of what has to wait until `body_waiter` has its buffers."""
         now = self.last_read_at = clock.now()
         self.touch(now)
-        self.is_between_responses = True  # while waiting for buffers below, the machine is not stalled
         for item in decoder.feed(data):
             match item:
                 case lines.ResponseHead():
-                    await self._on_head(item)
+                    self._on_head(item)
+                    if self.body_waiter is not None:
+                        self.is_between_responses = True  # the machine is not stalled while this front waits
+                        return bytes(decoder.undecoded)
                 case lines.ResponseData(piece) if self.body is not None:
                     self.body.append(piece)
                 case lines.ResponseEnd():
@@ -442,8 +459,9 @@
         self.is_between_responses = decoder.is_between_responses
         if not self.is_between_responses:
             self.response_began_at = self.response_began_at or now
+        return b""
 
-    async def _on_head(self, head: lines.ResponseHead) -> None:
+    def _on_head(self, head: lines.ResponseHead) -> None:
         exchange = self.awaited_by_id.get(head.id)
         self.head, self.response_began_at = head, self.response_began_at or self.last_read_at
         if exchange is None or exchange not in self.started:  # a duplicate, late or unsolicited response
@@ -459,7 +477,26 @@
         ):
             raise ProtocolError("response 'unchanged' to a command without a known version")
         if isinstance(exchange, OpenAttempt) and head.word == "data":
-            self.body = await self.context.allocate_body(head.length)
+            allocator = self.context.body_allocator
+            self.body = allocator.try_allocate(head.length)
+            if self.body is None:
+                self.body_waiter, self.paused_at = allocator.enqueue(head.length), self.last_read_at
+                self.actor.on_response_delayed(exchange)
+
+    async def _wait_for_body(self, waiter: BodyFuture) -> None:
+        """Wait for the buffers of the response being read; it is dropped if its attempt was cancelled."""
+        try:
+            self.body = await self.context.body_allocator.wait(waiter)
+        finally:
+            self.body_waiter = None
+        if self.body is not None and self.head is not None and self.head.id not in self.awaited_by_id:
+            self.body.release()  # cancelled after it had got its buffers
+            self.body = None
+        self.is_discarding = self.body is None
+        now = self.response_began_at = clock.now()
+        for exchange in self.awaited_by_id.values():
+            if isinstance(exchange, OpenAttempt):
+                exchange.paused_ns += now - max(self.paused_at, exchange.started_at_ns)
 
     def _on_whole(self, now: int) -> None:
         head, body, self.head, self.body, self.response_began_at = self.head, self.body, None, None, 0
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -37,8 +37,10 @@
 LINGER_TIMEOUT_S = 0.15  # after that, for clients to close their side
 DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 # A connection whose client has read no bytes for this long may be closed to admit a new one, if no other
-# connection can be closed.
+# connection can be closed, or to free the buffers that it holds.
 MIN_STALL_S = 2.0
+# Time without a byte read after which the responses of a client may fail if others wait for buffers.
+MIN_BUFFER_STALL_S = 0.5
 # Share of the body limit that partial requests may use; beyond it the largest of them is stopped.
 MAX_PARTIAL_SHARE = 0.5
 MIN_RETRY_AFTER_SHARE = 0.6  # of the longest retry time: rejected clients come back at different times
@@ -50,6 +52,7 @@
     Attributes:
         checks: Counters and log events.
         pool: The buffer pool of response bodies.
+        body_allocator: Tells whether responses of caches wait for buffers.
         descriptors: The count of open descriptors.
         module: The module's mailbox.
         is_ready: Returns whether the front is ready to serve; used to answer `/ping`.
@@ -89,6 +92,7 @@
             dependencies.buffer_pool,
             dependencies.descriptors,
         )
+        self.body_allocator = dependencies.body_allocator
         self.module, self.is_ready, self.pauses = (
             dependencies.module_mailbox,
             is_ready,
@@ -174,32 +178,34 @@
 
         Connections with a request that has no response yet are left out.
         """
-        latest = self.active_clock.time - int(MIN_STALL_S * clock.SECOND)
+        return next(
+            (
+                c
+                for c in self._find_stalled(MIN_STALL_S)
+                if c.session and all(r.is_finished for r in c.session.request_by_stream.values())
+            ),
+            None,
+        )
+
+    def _find_stalled(self, min_stall_s: float) -> list[ClientConnection]:
+        """Return the connections that have been stalled for `min_stall_s` at least, the longest first."""
+        latest = self.active_clock.time - int(min_stall_s * clock.SECOND)
         stalled = [c for c, (_, since) in self.stalled.items() if since <= latest and not c.is_closed]
-        finished = [
-            c
-            for c in stalled
-            if c.session and all(r.is_finished for r in c.session.request_by_stream.values())
-        ]
-        return min(finished, key=lambda c: self.stalled[c][1]) if finished else None
-
-    def free_buffers(self) -> None:
-        """Release buffers of an exhausted pool.
-
-        The unstarted responses of the client that has been inactive longest are replaced by failures. If no
-        client has any, the connection inactive longest is closed, which cuts its responses off.
+        return sorted(stalled, key=lambda c: self.stalled[c][1])
+
+    def _free_buffers(self) -> None:
+        """Release buffers that stalled clients hold, as long as responses of caches wait for some.
+
+        First the unstarted responses of clients that have been stalled for `MIN_BUFFER_STALL_S` are replaced
+        by failures. If that is not enough, connections stalled for `MIN_STALL_S` are closed, which cuts their
+        responses off. A client that reads is waited for, however slowly this front comes to write to it.
         """
-        writing = sorted(
-            (c for c in self.busy_connections if c.session and c.session.outgoing),
-            key=lambda c: c.last_activity_ns,
-        )
-        for connection in writing:
-            if connection.fail_unstarted_responses():
+        for connection in self._find_stalled(MIN_BUFFER_STALL_S):
+            if self.body_allocator.is_short and connection.fail_unstarted_responses():
                 self.checks.event("responses_failed_buffer_limit")
-                return
-        if writing:
+        while self.body_allocator.is_short and (stalled := self._find_longest_stalled()) is not None:
             self.checks.event("slow_client_closed_buffer_limit")
-            writing[0].close()
+            stalled.close()
 
     def account_partial_bytes(self, connection: ClientConnection, partial_bytes: int) -> None:
         """Account for the bytes of a connection's partial requests; over the limit the largest is stopped."""
@@ -214,7 +220,7 @@
             largest.stop_reading(ProtocolError(f"{largest.partial_bytes} bytes of incomplete requests"))
 
     def sweep(self, now: int) -> None:
-        """Handle the timers that are due and update `stalled`.
+        """Handle the timers that are due, update `stalled` and free buffers that stalled clients hold.
 
         Time beyond `MAX_CLOCK_STEP_NS` between two readings of the active clock is a process pause and does
         not count.
@@ -230,9 +236,11 @@
             except Exception as error:
                 self.checks.exception("exception_in_client_actor", error)
                 connection.close()
-        stalled = {c: (c.last_activity_ns, time) for c in self.busy_connections if c.write_task is not None}
-        kept = {c: seen for c, seen in self.stalled.items() if c in stalled and seen[0] == c.last_activity_ns}
+        stalled = {c: (c.last_sent_ns, time) for c in self.busy_connections if c.write_task is not None}
+        kept = {c: seen for c, seen in self.stalled.items() if c in stalled and seen[0] == c.last_sent_ns}
         self.stalled = kept | {c: seen for c, seen in stalled.items() if c not in kept}
+        if self.body_allocator.is_short:
+            self._free_buffers()
 
     # Read scheduling
 
--- a/quincepier/net/messages.py
+++ b/quincepier/net/messages.py
@@ -43,6 +43,12 @@
     is_unchanged: bool = False
     retry_after_ms: int | None = None
 
+    def fail(self) -> None:
+        """Make it a 502 without a body and release its buffers."""
+        if self.body is not None:
+            self.body.release()
+        self.status, self.body = 502, None
+
 
 @dataclass(slots=True)
 class SendCommand:
@@ -77,6 +83,13 @@
     includes_load_report: bool
 
 
+@dataclass(slots=True, frozen=True)
+class ResponseDelayed:
+    """Cache to module: the attempt's response has begun to arrive and waits for buffers of this front."""
+
+    attempt: OpenAttempt
+
+
 @dataclass(slots=True)
 class AttemptFinished:
     """Cache to module: the outcome of an attempt.
@@ -136,4 +149,11 @@
 
 FromClient = RequestArrived | ClientDisconnected
 ToCache = SendCommand | CancelCommand | RevokeCommand | RunHealthCheck
-ToModule = RequestArrived | ClientDisconnected | AttemptFinished | HealthCheckFinished | ChangeLogEvent
+ToModule = (
+    RequestArrived
+    | ClientDisconnected
+    | ResponseDelayed
+    | AttemptFinished
+    | HealthCheckFinished
+    | ChangeLogEvent
+)
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -37,6 +36,7 @@
     HealthCheckFinished,
     RequestArrived,
     Response,
+    ResponseDelayed,
     RevokeCommand,
     RunHealthCheck,
     SendCommand,
@@ -72,7 +72,6 @@
         checks: Counters, event log and invariant checks.
         pool: The buffers for reads and response bodies.
         descriptors: Counts the front's sockets and holds the limits on them.
-        free_buffers: Called when the buffer pool is used up: makes a slow client's buffers free.
         budget: Limits that follow from the memory limit.
 
     Attributes:
@@ -99,13 +98,12 @@
         checks: Checks,
         pool: BufferPool,
         descriptors: Descriptors,
-        free_buffers: Callable[[], None],
         budget: MemoryBudget,
     ) -> None:
         super().__init__(checks, MAX_MAILBOX_MESSAGES)
         self.config = config
         self.dependencies = ActorDependencies(config, checks, pool, descriptors, self.mailbox, budget)
-        self.context = CacheConnectionContext(self.dependencies, free_buffers)
+        self.context = CacheConnectionContext(self.dependencies)
         self.dates = EventDates(config)
         self.directory = MachineDirectory(config.zones, config.kinds, self.dates.convert_start_time)
         self.fleet = CacheFleet(self.context, self.directory, self._count_requesting_fronts)
@@ -154,6 +152,8 @@
                     request.is_finished = True
                 else:
                     self._on_client_disconnected(request)
+            case ResponseDelayed(attempt):
+                self._dispatch(io.ResponseDelayed(attempt.request.number, attempt.number))
             case AttemptFinished():
                 self._on_attempt_finished(message)
             case HealthCheckFinished(cache, outcome, elapsed_ns, load_report):
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import socket
+from collections.abc import Callable
 
 from quincepier.checks import Checks
 
@@ -177,15 +178,19 @@
         loop.remove_writer(sock)
 
 
-async def send_all(sock: socket.socket, data: bytes | memoryview) -> None:
+async def send_all(
+    sock: socket.socket, data: bytes | memoryview, on_sent: Callable[[], None] = lambda: None
+) -> None:
     """Send all of `data`; OSError if the connection is broken.
 
-    Unlike the loop's `sock_sendall` it retries after transient errors.
+    Unlike the loop's `sock_sendall` it retries after transient errors. It calls `on_sent` whenever the socket
+    has taken some bytes.
     """
     unsent = memoryview(data)
     while unsent:
         try:
             unsent = unsent[sock.send(unsent) :]
+            on_sent()
         except (BlockingIOError, InterruptedError):
             await wait_until_writable(sock)
         except OSError as error:
--- a/quincepier/policy/outliers.py
+++ b/quincepier/policy/outliers.py
@@ -78,6 +78,11 @@
                 upstream.started_at = self.context.now
             self.log.write(f"machine {upstream.endpoint.number} answers again")
 
+    def on_response_delayed(self, attempt: Attempt) -> None:
+        """Note that the upstreams of an attempt respond, though this front can't take the response yet."""
+        for upstream in attempt.upstreams:
+            upstream.last_response_at = self.context.now
+
     def on_failure(self, upstream: Upstream, reason: str, weight: float = EJECTION_FAILURES) -> None:
         """Count a failure; eject the upstream once its failures weigh `EJECTION_FAILURES` in total.
 
--- a/quincepier/policy/router.py
+++ b/quincepier/policy/router.py
@@ -110,9 +110,7 @@
         """Handle an event that arrives at `now` (ns); return the actions to take, in order."""
         self.context.now = now
         self.context.actions = []
-        while self.expiries and self.expiries[0][0] <= now:  # before a decision uses an expired fact
-            _, forget = self.expiries.pop(0)
-            forget()
+        self._forget_expired()
         match event:
             case interface.RequestReceived():
                 self.on_request(event)
@@ -126,11 +124,19 @@
                 self.freshness.on_purge(group, obj, age)
             case interface.ResponseStarted():
                 self.on_response_started(event)
+            case interface.ResponseDelayed():
+                self.on_response_delayed(event)
             case interface.ClientDisconnected(request_id):
                 if (request := self.requests.get(request_id)) is not None:
                     self.responder.close(request)
         return self.context.actions
 
+    def _forget_expired(self) -> None:
+        """Forget the facts that have expired, before a decision uses them."""
+        while self.expiries and self.expiries[0][0] <= self.context.now:
+            _, forget = self.expiries.pop(0)
+            forget()
+
     def on_request(self, event: interface.RequestReceived) -> None:
         """Route a request, or reject it early if it has waited too long or has too little time left."""
         context = self.context
@@ -169,6 +175,12 @@
             self.sender.cancel(a for a in request.open_attempts.values() if a.number != event.attempt)
             request.has_response_started = True
 
+    def on_response_delayed(self, event: interface.ResponseDelayed) -> None:
+        """Note that the upstreams of an attempt respond, though its response waits for buffers."""
+        attempt = self.attempts.get((event.request, event.attempt))
+        if attempt is not None:
+            self.outliers.on_response_delayed(attempt)
+
     def on_attempt_completed(self, event: interface.AttemptCompleted) -> None:
         """Learn from a completed attempt; close, retry or give up its request."""
         attempt = self.attempts.complete(event)
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -177,14 +177,17 @@
 
 
 def make_attempt_completed(attempt: OpenAttempt, end: AttemptResult) -> io.AttemptCompleted:
-    """Return the event for an attempt that has ended; a successful one finishes its request."""
+    """Return the event for an attempt that has ended; a successful one finishes its request.
+
+    The time in which this front had no buffers for the response does not count as latency of its cache.
+    """
     r, is_request_finished = attempt.request, attempt.request.is_finished or end.outcome is AttemptOutcome.OK
     return io.AttemptCompleted(
         request=r.number,
         attempt=attempt.number,
         cache=attempt.cache,
         outcome=end.outcome,
-        elapsed=max(end.finished_at_ns - attempt.started_at_ns, 0),
+        elapsed=max(end.finished_at_ns - attempt.started_at_ns - attempt.paused_ns, 0),
         is_request_finished=is_request_finished,
         cache_status=end.cache_status,
         waited=end.queue_time_ns,
--- a/quincepier/wire/lines.py
+++ b/quincepier/wire/lines.py
@@ -124,12 +124,14 @@
         line_buffer: The bytes received of an incomplete line.
         bytes_left: Bytes of the body still to be received.
         expected_trailer: Bytes that must follow the body.
+        undecoded: The data behind a `ResponseHead` that was yielded; valid until the decoder is advanced.
     """
 
     def __init__(self) -> None:
         self.line_buffer = bytearray()
         self.bytes_left = 0
         self.expected_trailer = b""
+        self.undecoded: memoryview = memoryview(b"")
 
     @property
     def is_between_responses(self) -> bool:
@@ -139,6 +141,8 @@
     def feed(self, data: memoryview) -> Iterable[ResponseHead | ResponseData | ResponseEnd]:
         """Decode received data, split in any way, and yield what it contains.
 
+        The caller may stop at a `ResponseHead` and feed `undecoded`, or a copy of it, later.
+
         Raises:
             ProtocolError: The data violates the protocol.
         """
@@ -169,4 +173,5 @@
                     head = read_line(bytes(self.line_buffer[:-2]))
                     self.line_buffer.clear()
                     self.bytes_left, self.expected_trailer = head.length, b"\r\n"
+                    self.undecoded = data[at:]
                     yield head
--- a/tests/addresskit.py
+++ b/tests/addresskit.py
@@ -83,7 +83,7 @@
                 await machine.start()
         checks, pool = Checks(), BufferPool(BUDGET.max_buffers)
         descriptors = Descriptors(sockets)
-        self.module = ModuleActor(self.config(order), checks, pool, descriptors, lambda: None, BUDGET)
+        self.module = ModuleActor(self.config(order), checks, pool, descriptors, BUDGET)
         self.module.dependencies.parse_address = parse
         self.module.context.dialer = Dialer(
             self.module.dependencies, self.section, self.module.context.ensure_descriptor
--- a/tests/attemptkit.py
+++ b/tests/attemptkit.py
@@ -146,7 +146,7 @@
         self.checks, self.pool, self.seq, self.request_count = Checks(), BufferPool(100), len(results), 0
         budget = MemoryBudget(max_buffers=100, max_body_bytes=1 << 20, max_open_requests=4096)
         self.descriptors = sockets.Descriptors(1024)
-        self.module = ModuleActor(self.config, self.checks, self.pool, self.descriptors, lambda: None, budget)
+        self.module = ModuleActor(self.config, self.checks, self.pool, self.descriptors, budget)
         self.events: list[io.Event] = []
         self.wires_by_job: dict[str, list[Wire]] = {}
         handle_plainly = self.module.router.handle
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -83,7 +83,7 @@
     script: Callable[[io.Event], list[io.Action]], config: FrontConfig | None = None
 ) -> tuple[ModuleActor, ScriptedRouter]:
     checks, router, pool = Checks(), ScriptedRouter(script), BufferPool(100)
-    actor = ModuleActor(config or make_config(), checks, pool, Descriptors(1024), lambda: None, BUDGET)
+    actor = ModuleActor(config or make_config(), checks, pool, Descriptors(1024), BUDGET)
     actor.router = router  # type: ignore[assignment]
     return actor, router
 
--- a/tests/test_crossings_addresses.py
+++ b/tests/test_crossings_addresses.py
@@ -267,7 +267,7 @@
         new.respond_with_data(b"of the new one")
         (answer,) = await harness.wait_for_responses(1)
         assert answer.status == 200 and answer.body is not None
-        assert b"".join(bytes(piece) for piece in answer.body.chunks()) == b"of the new one"
+        assert b"".join(bytes(piece) for piece in answer.body.take_chunks()) == b"of the new one"
 
     run_scenario(monkeypatch, scenario)
 
--- a/tests/test_crossings_answers.py
+++ b/tests/test_crossings_answers.py
@@ -150,7 +150,7 @@
         second.respond(request.job_id, b"of the second")
         responses = request.receiver.responses  # type: ignore[attr-defined]
         await until(lambda: bool(responses), "the request is answered")
-        assert [bytes(chunk) for chunk in responses[0].body.chunks()] == [b"of the second"]
+        assert [bytes(chunk) for chunk in responses[0].body.take_chunks()] == [b"of the second"]
         assert await harness.wait_for_status(request) == 200
         if late == "behind the second's":
             first.send(encode_response(request.job_id, b"of the first"))
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -27,8 +27,12 @@
     assert body is not None
     for part in parts:
         body.append(part)
-    assert b"".join(body.chunks()) == data
-    assert all(len(chunk) <= BUFFER_SIZE for chunk in body.chunks())
+    chunks, used = list[bytes](), list[int]()
+    for chunk in body.take_chunks():
+        chunks.append(bytes(chunk))
+        used.append(pool.used)
+    assert b"".join(chunks) == data and all(len(chunk) <= BUFFER_SIZE for chunk in chunks)
+    assert used == list(range(len(chunks), 0, -1))  # a buffer that was taken is free again
     body.release()
     assert pool.used == 0
 
