--- a/tests/test_buffer_shortage.py
+++ b/tests/test_buffer_shortage.py
@@ -20,7 +20,7 @@
 from tests.fcgikit import encode_request, params
 from tests.limitkit import object_id, play_with_descriptors
 from tests.rig import MS, SECOND, RouterBench, attempts
-from tests.standins import Front, ReceivedCommand, until
+from tests.standins import Behaviour, Front, ReceivedCommand, until
 from tests.test_idle import PING, Peer, make_manager, on_loop
 
 CLIENTS, REQUESTS_EACH = 4, 32
@@ -54,7 +54,7 @@
             assert all(r.status == 200 and r.body == LARGE for r in responses)
         assert not front.has_logged("buffer_limit")
 
-    fleet = dict.fromkeys(("s-1", "p-1", "o-1"), answer_large)
+    fleet: dict[str, Behaviour] = dict.fromkeys(("s-1", "p-1", "o-1"), answer_large)
     play_with_descriptors(tmp_path, fleet, scenario, 64, memory_mb=44)
 
 
