Requests taken back while they wait leave the module's queue at once

Cause, first of three: a request that was taken back kept its place in the queue and put a notice ahead of all other requests. Now both are gone: new work can be removed, and only a request that the module has taken is notified. A client that has left is closed when epoll says so, and what it had sent is not read.

--- a/quincepier/net/actor.py
+++ b/quincepier/net/actor.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Awaitable
 from typing import Generic, TypeVar
 
@@ -24,7 +24,7 @@
     Attributes:
         queue: Messages about work in progress.
         urgent: Messages taken before all others.
-        new_work: Messages taken after all others.
+        new_work: Messages taken after all others, by arrival; hashable, so that each can be removed.
         waiter: Set while the actor waits for a message.
     """
 
@@ -32,7 +32,7 @@
         self.max_messages = max_messages
         self.queue: deque[M] = deque()
         self.urgent: deque[M] = deque()
-        self.new_work: deque[M] = deque()
+        self.new_work: OrderedDict[M, None] = OrderedDict()
         self.waiter: asyncio.Future[None] | None = None
 
     def __len__(self) -> int:
@@ -55,10 +55,17 @@
         """Queue new work behind all other messages; return False if too much new work is queued."""
         if len(self.new_work) >= self.max_messages:
             return False
-        self.new_work.append(message)
+        self.new_work[message] = None
         self.wake()
         return True
 
+    def remove_new_work(self, message: M) -> bool:
+        """Remove queued new work that nobody needs any more; return whether it was still queued."""
+        if message not in self.new_work:
+            return False
+        del self.new_work[message]
+        return True
+
     def push(self, message: M) -> None:
         """Queue a message without a limit: for messages bounded in number by open requests and attempts."""
         self.queue.append(message)
@@ -71,10 +78,10 @@
 
     def take(self) -> M | None:
         """Remove and return the next message; None if there is none."""
-        next_queue = self.urgent or self.queue or self.new_work
-        if not next_queue:
-            return None
-        return next_queue.popleft()
+        next_queue = self.urgent or self.queue
+        if next_queue:
+            return next_queue.popleft()
+        return self.new_work.popitem(last=False)[0] if self.new_work else None
 
     async def wait(self) -> None:
         """Wait for a message or a call of `wake`."""
--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -11,7 +11,7 @@
 
 from quincepier import clock
 from quincepier.net.client_read_side import PARTIAL_REQUEST_TIMEOUT_S, ClientReadSide
-from quincepier.net.messages import ClientDisconnected, Response
+from quincepier.net.messages import Response
 
 FIRST_REQUEST_TIMEOUT_S = 2.0  # from accept to the first complete request
 CLOSE_TIMEOUT_S = 1.0  # for the client to take the last response of a connection that is to close
@@ -143,9 +143,7 @@
             for outgoing in session.outgoing:
                 outgoing.release()
             for request in session.request_by_stream.values():
-                request.cancel(clock.now())
-                self._release_body(request)
-                manager.module.push(ClientDisconnected(request))
+                self._withdraw(request)
         if self.write_task is not None:
             # The socket is closed after the task, when the event loop no longer uses it. The callback also
             # runs if the task is cancelled before its first step.
--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -8,7 +8,7 @@
 from quincepier import clock
 from quincepier.net.client_session import ClientSession, cgi_head
 from quincepier.net.client_write_side import ClientWriteSide
-from quincepier.net.messages import ClientDisconnected, RequestArrived
+from quincepier.net.messages import RequestArrived
 from quincepier.net.sockets import TRANSIENT_ERROR_PAUSE_S, is_transient
 from quincepier.translate import PING, BadRequestError, open_request
 from quincepier.wire import fastcgi
@@ -42,17 +42,18 @@
     def on_readable(self, is_disconnected: bool = False) -> None:
         """Read now, or later if this turn of the event loop has no reads left.
 
-        A paused connection reads when it resumes, but a disconnect closes it at once if it has open requests.
+        A paused connection reads when it resumes. A disconnect closes the connection at once: nobody waits
+        for responses to what it has sent and is not read yet, which may be megabytes.
 
         Args:
             is_disconnected: Whether epoll reported that the client closed its side. Where it did not report
                 that, the read finds it.
         """
+        if is_disconnected:
+            self.close()
+            return
         if not self.is_reading:
-            if is_disconnected and self.has_open_requests:
-                self.close()
-            else:
-                self._note_unread_data()
+            self._note_unread_data()
             return
         if self.manager.may_read_now(self.client_connection):
             self.receive()
@@ -239,9 +240,7 @@
             session.short_responses = deque(item for item in session.short_responses if item[0] != stream_id)
         request = session.request_by_stream.pop(stream_id, None)
         if request is not None:
-            request.cancel(clock.now())
-            self._release_body(request)
-            self.manager.module.push(ClientDisconnected(request))
+            self._withdraw(request)
 
     def _update_partial(self, session: ClientSession, now: int) -> bool:
         """Return whether a request or record is incomplete; note when a new one was first seen."""
--- a/quincepier/net/client_write_side.py
+++ b/quincepier/net/client_write_side.py
@@ -14,7 +14,7 @@
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenRequest
 from quincepier.net.client_session import ClientSession, OutgoingResponse, cgi_head
-from quincepier.net.messages import Response
+from quincepier.net.messages import ClientDisconnected, RequestArrived, Response
 from quincepier.net.sockets import is_transient, send_all
 from quincepier.timers import Timer
 from quincepier.wire import fastcgi
@@ -269,3 +269,12 @@
 
     def _release_body(self, request: OpenRequest) -> None:
         self.manager.body_bytes -= len(request.body)
+
+    def _withdraw(self, request: OpenRequest) -> None:
+        """Cancel a request that the client took back; the module is notified only if it has taken it."""
+        request.cancel(clock.now())
+        self._release_body(request)
+        if self.manager.module.remove_new_work(RequestArrived(request)):
+            request.is_finished = True
+        else:
+            self.manager.module.push(ClientDisconnected(request))
--- a/quincepier/net/messages.py
+++ b/quincepier/net/messages.py
@@ -11,9 +11,12 @@
 from quincepier.wire.lines import ServeCommand
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class RequestArrived:
-    """Client to module: a complete request was received."""
+    """Client to module: a complete request was received.
+
+    It equals another message about the same request.
+    """
 
     request: OpenRequest
 
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -516,7 +516,7 @@
         assert not arrivals
         peer.send(encode_request(3, params("3" * 16)))
         await until(lambda: len(received_job_ids(manager)) == 2, "the second is read")
-        later = manager.module.new_work[1]
+        _, later = manager.module.new_work
         assert isinstance(later, RequestArrived)
         assert (
             later.request.earliest_arrival_ns > message.request.received_at_ns
