Clients that read nothing are looked for every 0.1 s while responses wait for buffers

Cause, by the fronts' counters at the failure: all 3,254 buffers were held by clients that read nothing, 242 to 471 responses waited, and each ended at its deadline of 3 s.

Change: the upkeep looks at stalled clients in each of its turns of 0.1 s while responses wait.

--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -223,7 +223,7 @@
         return not self.module.requests.unanswered and self.connection_manager.is_quiescent()
 
     async def _upkeep(self) -> None:
-        """Close overdue and idle connections, measure the event loop's lag, log counters that changed."""
+        """Close overdue and idle connections, free buffers, measure the loop's lag, log changed counters."""
         ticks, swept_at_ns = 0, clock.now()
         while True:
             slept_since_ns = clock.now()
@@ -233,6 +233,8 @@
             )
             ticks += 1
             try:
+                if self.module.dependencies.body_allocator.is_short:
+                    self.connection_manager.free_buffers(clock.now())
                 if ticks % SWEEP_INTERVAL_TICKS == 0:
                     now = clock.now()
                     # a late sweep is the fault of this process: its peers may not be stalled
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -193,13 +193,16 @@
         stalled = [c for c, (_, since) in self.stalled.items() if since <= latest and not c.is_closed]
         return sorted(stalled, key=lambda c: self.stalled[c][1])
 
-    def _free_buffers(self) -> None:
+    def free_buffers(self, now: int) -> None:
         """Release buffers that stalled clients hold, as long as responses of caches wait for some.
 
+        Called at short intervals while such responses wait.
+
         First the unstarted responses of clients that have been stalled for `MIN_BUFFER_STALL_S` are replaced
         by failures. If that is not enough, connections stalled for `MIN_STALL_S` are closed, which cuts their
         responses off. A client that reads is waited for, however slowly this front comes to write to it.
         """
+        self._update_stalled(self.active_clock.read(now))
         for connection in self._find_stalled(MIN_BUFFER_STALL_S):
             if self.body_allocator.is_short and connection.fail_unstarted_responses():
                 self.checks.event("responses_failed_buffer_limit")
@@ -220,7 +223,7 @@
             largest.stop_reading(ProtocolError(f"{largest.partial_bytes} bytes of incomplete requests"))
 
     def sweep(self, now: int) -> None:
-        """Handle the timers that are due, update `stalled` and free buffers that stalled clients hold.
+        """Handle the timers that are due and update `stalled`.
 
         Time beyond `MAX_CLOCK_STEP_NS` between two readings of the active clock is a process pause and does
         not count.
@@ -236,11 +239,12 @@
             except Exception as error:
                 self.checks.exception("exception_in_client_actor", error)
                 connection.close()
+        self._update_stalled(time)
+
+    def _update_stalled(self, time: int) -> None:
         stalled = {c: (c.last_sent_ns, time) for c in self.busy_connections if c.write_task is not None}
         kept = {c: seen for c, seen in self.stalled.items() if c in stalled and seen[0] == c.last_sent_ns}
         self.stalled = kept | {c: seen for c, seen in stalled.items() if c not in kept}
-        if self.body_allocator.is_short:
-            self._free_buffers()
 
     # Read scheduling
 
