Whether a client reads is asked of its socket, so a late front finds who does not

Cause: the 0.5 s were counted by the active clock, which leaves out most of the time of a front that is late, although the kernel shows what the client did in it.

Change: a client has its unbegun responses failed if its socket took no byte for 0.5 s of real time, was already stalled at an earlier look, and takes no byte now (poll). Who has read while the front was late is left alone. Closing after 2 s keeps the active clock.

Test: test_a_front_that_is_late_asks_the_system_whether_its_client_has_read.

--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -18,6 +18,7 @@
 from quincepier.net.actor_dependencies import ActorDependencies
 from quincepier.net.client_connection import ClientConnection
 from quincepier.net.lingering_sockets import POLL_INTERVAL_S, LingeringSockets
+from quincepier.net.sockets import is_writable
 from quincepier.timers import ActiveClock, TimerWheel
 from quincepier.translate import make_class_table
 from quincepier.wire.errors import ProtocolError
@@ -193,6 +194,20 @@
         stalled = [c for c, (_, since) in self.stalled.items() if since <= latest and not c.is_closed]
         return sorted(stalled, key=lambda c: self.stalled[c][1])
 
+    def _find_unread(self, now: int) -> list[ClientConnection]:
+        """Return the connections whose socket took no byte for `MIN_BUFFER_STALL_S` nor takes any now.
+
+        The system is asked, since this front may have come late to write. Each was stalled earlier, too.
+        """
+        latest = now - int(MIN_BUFFER_STALL_S * clock.SECOND)
+        unread = [
+            connection
+            for connection, (last_sent_ns, since) in self.stalled.items()
+            if last_sent_ns <= latest and since < self.active_clock.time
+            if not connection.is_closed and not is_writable(connection.sock)
+        ]
+        return sorted(unread, key=lambda connection: connection.last_sent_ns)
+
     def free_buffers(self, now: int) -> None:
         """Release buffers that stalled clients hold, as long as responses of caches wait for some.
 
@@ -203,7 +218,7 @@
         responses off. A client that reads is waited for, however slowly this front comes to write to it.
         """
         self._update_stalled(self.active_clock.read(now))
-        for connection in self._find_stalled(MIN_BUFFER_STALL_S):
+        for connection in self._find_unread(now):
             if self.body_allocator.is_short and connection.fail_unstarted_responses():
                 self.checks.event("responses_failed_buffer_limit")
         while self.body_allocator.is_short and (stalled := self._find_longest_stalled()) is not None:
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import select
 import socket
 from collections.abc import Callable
 
@@ -167,6 +168,13 @@
     return True
 
 
+def is_writable(sock: socket.socket) -> bool:
+    """Whether a socket takes bytes now, or fails at once."""
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    return bool(poll.poll(0))
+
+
 async def wait_until_writable(sock: socket.socket) -> None:
     """Wait until a socket can be written to."""
     loop = asyncio.get_running_loop()
--- a/tests/test_buffer_shortage.py
+++ b/tests/test_buffer_shortage.py
@@ -164,6 +164,27 @@
     on_loop(scenario)
 
 
+@pytest.mark.parametrize("reads", [False, True])
+def test_a_front_that_is_late_asks_the_system_whether_its_client_has_read(reads: bool) -> None:
+    """Its turns are 0.6 s apart: who reads nothing is found within three of them, and no one else is."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        await stall(manager, peer, 8)
+        shortage = Shortage(manager)
+        for _ in range(3):
+            shortage.now += 600 * clock.MS
+            if reads:
+                peer.read()  # the event loop does not run, so nothing more is written
+            manager.free_buffers(shortage.now)
+        assert shortage.waiter.done() is not reads
+        assert shortage.count("responses_failed_buffer_limit") == (0 if reads else 1)
+        peer.connection.close()
+
+    on_loop(scenario)
+
+
 # The order of those who wait
 
 
