Turns of the event loop are bounded in time, and floods of data are read apart

Change: the module handles a slice of 10 ms (32 messages at least) in place of 32 messages. ReadScheduler, split off from ConnectionManager, gives connections that were not found empty a queue of their own, of which two are read in a turn, so floods delay others by two reads however many they are; reads of active connections end after 10 ms a turn and go on in order in the next.

--- a/quincepier/clients/ready_queue.py
+++ b/quincepier/clients/ready_queue.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Hashable
+from collections.abc import Hashable, Sequence
 from typing import Generic, TypeVar
 
 K = TypeVar("K", bound=Hashable)
@@ -53,3 +53,10 @@
         ]
         self.remaining = self.max_per_turn - len(served)
         return served
+
+    def end_turn(self, not_served: Sequence[K] = ()) -> None:
+        """Serve no further connection in this turn; `not_served` were taken and are the first in the next."""
+        self.remaining = 0
+        for connection in reversed(not_served):
+            self.enqueue(connection)
+            self.waiting.move_to_end(connection, last=False)
--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -109,7 +109,7 @@
         """Read again after a pause, including what arrived during it."""
         if not (self.is_reading or self.is_closed) and (self.has_open_requests or not self.is_read_closed):
             self.is_reading = True
-            self.manager.enqueue_read(self)
+            self.manager.reads.enqueue(self)
 
     def cancel(self) -> None:
         """Close the connection now."""
--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -55,7 +55,7 @@
         if not self.is_reading:
             self._note_unread_data()
             return
-        if self.manager.may_read_now(self.client_connection):
+        if self.manager.reads.may_read_now(self.client_connection):
             self.receive()
         else:
             self._note_unread_data()
@@ -107,8 +107,10 @@
                     break
             if self.is_reading:
                 self._note_unread_data()
-                self.manager.enqueue_read(self.client_connection)
+                self.has_backlog = True
+                self.manager.reads.enqueue(self.client_connection)
         except (BlockingIOError, InterruptedError):
+            self.has_backlog = False
             self.readable_since_ns = self.earliest_arrival_ns = 0
             self.socket_empty_at_ns = clock.now()
         except OSError as error:
@@ -123,7 +125,7 @@
     def _retry_receive(self) -> None:
         """Queue a read that failed for a moment."""
         if self.is_reading:
-            self.manager.enqueue_read(self.client_connection)
+            self.manager.reads.enqueue(self.client_connection)
 
     def _on_received(self, size: int) -> None:
         now, bad_requests_before, manager = clock.now(), self.bad_request_count, self.manager
@@ -253,4 +255,4 @@
 
     def _pause_reading(self) -> None:
         self.is_reading = False
-        self.manager.remove_from_queues(self.client_connection)
+        self.manager.reads.remove(self.client_connection)
--- a/quincepier/net/client_write_side.py
+++ b/quincepier/net/client_write_side.py
@@ -53,6 +53,7 @@
         readable_since_ns: When data was found that has not been read yet; 0: none is known.
         earliest_arrival_ns: The earliest time at which unread data may have arrived; 0: the socket was empty.
         socket_empty_at_ns: When the socket was last read until it was empty.
+        has_backlog: The socket was not found empty when it was last read.
         timer: The timer of the next deadline check.
     """
 
@@ -62,6 +63,7 @@
         "closes_when_sent",
         "closing_since",
         "earliest_arrival_ns",
+        "has_backlog",
         "has_requested",
         "is_closed",
         "is_flush_scheduled",
@@ -86,7 +88,7 @@
         self.is_closed = self.closes_when_sent = self.is_last_response_queued = self.has_requested = (
             self.is_reading
         ) = self.is_flush_scheduled = False
-        self.is_read_closed = False
+        self.is_read_closed = self.has_backlog = False
         self.write_task: asyncio.Task[None] | None = None
         self.last_activity_ns = self.last_sent_ns = clock.now()
         self.accepted_at = manager.active_clock.time
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -1,7 +1,7 @@
-"""All client connections of a front: admission, read scheduling, timers and the drain.
+"""All client connections of a front: admission, readable sockets, timers and the drain.
 
-One edge-triggered epoll, itself watched by the event loop, watches all client sockets. Connections that
-become readable are read in bounded numbers per turn of the event loop.
+One edge-triggered epoll, itself watched by the event loop, watches all client sockets;
+`read_scheduler.py` decides when those that became readable are read.
 """
 
 from __future__ import annotations
@@ -14,10 +14,11 @@
 from typing import TYPE_CHECKING
 
 from quincepier import clock
-from quincepier.clients import AdmissionResult, ConnectionLimits, ConnectionRegistry, ReadyQueue
+from quincepier.clients import AdmissionResult, ConnectionLimits, ConnectionRegistry
 from quincepier.net.actor_dependencies import ActorDependencies
 from quincepier.net.client_connection import ClientConnection
 from quincepier.net.lingering_sockets import POLL_INTERVAL_S, LingeringSockets
+from quincepier.net.read_scheduler import ReadScheduler
 from quincepier.net.sockets import is_writable
 from quincepier.timers import ActiveClock, TimerWheel
 from quincepier.translate import make_class_table
@@ -30,10 +31,7 @@
 # Longest step of the active clock; more time between two readings is a process pause and not counted.
 MAX_CLOCK_STEP_NS = clock.SECOND // 4
 MAX_TIMERS_PER_SWEEP = 2000  # the rest is handled by the next sweep
-# Connections read in one turn of the event loop: active ones, and ones that have been idle for long.
-MAX_ACTIVE_READS, MAX_WAKING_READS = 64, 4
 MAX_EPOLL_EVENTS = 512  # readable connections handled in one turn of the event loop
-ACTIVE_WITHIN_NS = 5 * clock.SECOND  # time since the last byte in which a connection counts as active
 FLUSH_TIMEOUT_S = 0.1  # at the end of the front, for responses that are being written
 LINGER_TIMEOUT_S = 0.15  # after that, for clients to close their side
 DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
@@ -72,9 +70,7 @@
         lingering: Sockets closed for writing that still wait for the client's close.
         active_clock: A clock that does not count process pauses.
         timers: Deadline checks of the connections, each with whether reading resumes.
-        active_queue: Active connections that wait to be read.
-        waking_queue: Connections that wait to be read after having been idle for long.
-        is_read_turn_scheduled: Whether a turn of queued reads is scheduled.
+        reads: Decides which readable connections are read in which turn of the event loop.
         epoll: Watches all client sockets; created with the first connection.
         connection_by_fd: The watched connections by descriptor.
         random: Source of retry times, seeded by the configuration.
@@ -115,9 +111,7 @@
         now = clock.now()
         self.active_clock = ActiveClock(now, MAX_CLOCK_STEP_NS)
         self.timers: TimerWheel[tuple[ClientConnection, bool]] = TimerWheel(now, TIMER_TICK_NS)
-        self.active_queue: ReadyQueue[ClientConnection] = ReadyQueue(MAX_ACTIVE_READS)
-        self.waking_queue: ReadyQueue[ClientConnection] = ReadyQueue(MAX_WAKING_READS)
-        self.is_read_turn_scheduled = False
+        self.reads = ReadScheduler(self.checks)
         self.epoll: select.epoll | None = None
         self.connection_by_fd: dict[int, ClientConnection] = {}
         self.random = random.Random(dependencies.config.seed)
@@ -261,7 +255,7 @@
         kept = {c: seen for c, seen in self.stalled.items() if c in stalled and seen[0] == c.last_sent_ns}
         self.stalled = kept | {c: seen for c, seen in stalled.items() if c not in kept}
 
-    # Read scheduling
+    # Readable sockets
 
     def watch(self, connection: ClientConnection) -> None:
         """Watch a connection's socket; epoll reports once for all data that is there. Raises OSError."""
@@ -284,46 +278,6 @@
                 if connection is not None:
                     connection.on_readable(is_disconnected=bool(mask & DISCONNECT_EVENTS))
 
-    def may_read_now(self, connection: ClientConnection) -> bool:
-        """Return whether a readable connection is read in this turn; else it is queued."""
-        self._schedule_read_turn()
-        return self._queue_for(connection).serve_or_enqueue(connection)
-
-    def enqueue_read(self, connection: ClientConnection) -> None:
-        """Queue a connection to be read in a later turn."""
-        self._schedule_read_turn()
-        self._queue_for(connection).enqueue(connection)
-
-    def _queue_for(self, connection: ClientConnection) -> ReadyQueue[ClientConnection]:
-        """Return the connection's queue.
-
-        There are two, so that many waking connections do not delay active ones, and active ones do not starve
-        waking ones.
-        """
-        is_active = (
-            connection.session is not None or clock.now() - connection.last_activity_ns < ACTIVE_WITHIN_NS
-        )
-        return self.active_queue if is_active else self.waking_queue
-
-    def remove_from_queues(self, connection: ClientConnection) -> None:
-        """Remove a connection from the queues of reads, if it is in one."""
-        self.active_queue.remove(connection)
-        self.waking_queue.remove(connection)
-
-    def _schedule_read_turn(self) -> None:
-        if not self.is_read_turn_scheduled:
-            self.is_read_turn_scheduled = True
-            asyncio.get_running_loop().call_soon(self._run_read_turn)
-
-    def _run_read_turn(self) -> None:
-        for connection in self.active_queue.start_turn() + self.waking_queue.start_turn():
-            connection.receive()
-        if waiting := len(self.active_queue.waiting) + len(self.waking_queue.waiting):
-            self.checks.count("reads_deferred", waiting)
-            asyncio.get_running_loop().call_soon(self._run_read_turn)
-        else:
-            self.is_read_turn_scheduled = False
-
     # End of the front
 
     def drain(self) -> None:
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -61,7 +61,8 @@
     from quincepier.net.router_overrides import RouterOverrides
 
 MAX_MAILBOX_MESSAGES = 1024
-MESSAGES_PER_LOOP_ITERATION = 32  # messages handled before other tasks run
+# What the module handles before other tasks run: messages at least, and further ones within this time.
+MIN_MESSAGES_PER_SLICE, MAX_SLICE_NS = 32, 10 * clock.MS
 
 
 class ModuleActor(Actor[ToModule]):
@@ -129,19 +130,28 @@
 
     async def run(self) -> None:
         """Handle timers and messages until cancelled; other tasks get the loop at regular intervals."""
-        handled_count = 0
         while True:
-            self._fire_due_timers()
-            message = self.mailbox.take()
-            if message is not None:
-                self.handle_safely(message)
-                handled_count += 1
-                if handled_count % MESSAGES_PER_LOOP_ITERATION == 0:
-                    await asyncio.sleep(0)
+            if self._handle_slice():
+                await asyncio.sleep(0)
             else:
                 self._schedule_wakeup()
                 await self.mailbox.wait()
 
+    def _handle_slice(self) -> bool:
+        """Handle timers and messages for one slice of time; return whether messages may be left.
+
+        The slice is one of time, since a turn of the other tasks may bring many messages and take long.
+        """
+        ends_at_ns, handled_count = clock.now() + MAX_SLICE_NS, 0
+        while handled_count < MIN_MESSAGES_PER_SLICE or clock.now() < ends_at_ns:
+            self._fire_due_timers()
+            message = self.mailbox.take()
+            if message is None:
+                return False
+            self.handle_safely(message)
+            handled_count += 1
+        return True
+
     def handle(self, message: ToModule) -> None:
         """Handle one message."""
         match message:
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -20,8 +20,9 @@
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.net import lingering_sockets
 from quincepier.net.client_connection import ClientConnection
-from quincepier.net.connection_manager import MAX_ACTIVE_READS, ConnectionManager
+from quincepier.net.connection_manager import ConnectionManager
 from quincepier.net.messages import ClientDisconnected, RequestArrived, Response
+from quincepier.net.read_scheduler import MAX_ACTIVE_READS
 from quincepier.net.sockets import set_no_delay
 from tests.fcgikit import ABORT, ResponseReader, encode_begin, encode_record, encode_request, params
 from tests.standins import until
@@ -393,13 +394,13 @@
         assert isinstance(message, RequestArrived)
         for other in crowd:
             other.send(PING)
-        manager.active_queue.remaining = 0  # no reads are left in this turn
+        manager.reads.active.remaining = 0  # no reads are left in this turn
         peer.sock.close()
         turns = 0
         while not message.request.is_cancelled and turns <= 3 * len(crowd) // MAX_ACTIVE_READS:
             await asyncio.sleep(0)
             turns += 1
-        assert message.request.is_cancelled and manager.active_queue.max_length > MAX_ACTIVE_READS
+        assert message.request.is_cancelled and manager.reads.active.max_length > MAX_ACTIVE_READS
 
     on_loop(scenario)
 
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -20,8 +20,9 @@
 from quincepier.net.actor import Mailbox
 from quincepier.net.actor_dependencies import ActorDependencies
 from quincepier.net.client_connection import ClientConnection
-from quincepier.net.connection_manager import MAX_ACTIVE_READS, MAX_WAKING_READS, ConnectionManager
+from quincepier.net.connection_manager import ConnectionManager
 from quincepier.net.messages import RequestArrived, Response, ToModule
+from quincepier.net.read_scheduler import MAX_ACTIVE_READS, MAX_WAKING_READS
 from quincepier.net.sockets import Descriptors
 from tests.fcgikit import ResponseReader, encode_begin, encode_record, encode_request, params
 from tests.frontkit import make_config
@@ -114,8 +115,8 @@
         assert max(steps) <= 2 * max_per_turn and sum(step > 0 for step in steps) >= len(peers) // (
             2 * max_per_turn
         )
-        assert (manager.waking_queue if was_idle else manager.active_queue).max_length > 0
-        assert not manager.waking_queue.waiting and not manager.active_queue.waiting
+        assert (manager.reads.waking if was_idle else manager.reads.active).max_length > 0
+        assert not manager.reads.count_waiting()
         for peer in peers:
             peer.connection.close()
 
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -8,11 +8,18 @@
 
 import pytest
 
+from quincepier import clock
+from quincepier import interface as io
 from quincepier.net.client_connection import ClientConnection
 from quincepier.net.messages import RequestArrived
+from quincepier.net.module import MAX_SLICE_NS, MIN_MESSAGES_PER_SLICE
+from quincepier.net.read_scheduler import MAX_BULK_READS, MAX_TURN_NS
+from tests.attemptkit import AdjustableClock
 from tests.fcgikit import ABORT, encode_record, encode_request, params
+from tests.frontkit import Inbox, open_request
 from tests.limitkit import object_id, play_with_descriptors, stop_and_read_counters
 from tests.standins import Behaviour, Front, ReceivedCommand, until
+from tests.test_actors import make_module
 from tests.test_idle import PING, Peer, make_manager, on_loop
 
 FLOODERS, FLOOD_REQUESTS = 12, 200
@@ -114,3 +121,91 @@
 
     fleet: dict[str, Behaviour] = dict.fromkeys(("s-1", "p-1", "o-1"), answer_hit)
     play_with_descriptors(tmp_path, fleet, scenario, 128)
+
+
+# Waiting for their turn
+
+
+def test_the_module_handles_a_slice_of_time_and_not_of_messages(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a queue that grows because each long turn of other tasks buys a few messages only."""
+
+    async def scenario() -> None:
+        adjustable = AdjustableClock(monkeypatch)
+        monkeypatch.setattr(clock, "now", lambda: adjustable.offset_ns)
+        cost_ns, handled_by_turn = clock.MS // 20, list[int]()
+
+        def script(event: io.Event) -> list[io.Action]:
+            adjustable.advance(cost_ns)
+            return [io.RejectRequest(event.request, 0)] if isinstance(event, io.RequestReceived) else []
+
+        actor, router = make_module(script)
+        for n in range(1000):
+            assert actor.mailbox.try_push_new_work(RequestArrived(open_request(Inbox(), 1, f"{n:016x}")))
+        actor.start()
+        while len(router.events) < 1000:
+            handled_by_turn.append(len(router.events))
+            await asyncio.sleep(0)
+        steps = [b - a for a, b in zip(handled_by_turn, handled_by_turn[1:], strict=False) if b > a]
+        assert max(steps) <= MAX_SLICE_NS // cost_ns + 1 and len(steps) <= 1000 * cost_ns // MAX_SLICE_NS + 2
+        cost_ns = MAX_SLICE_NS  # a slow router still gets through some messages each turn
+        for n in range(2 * MIN_MESSAGES_PER_SLICE):
+            assert actor.mailbox.try_push_new_work(RequestArrived(open_request(Inbox(), 1, f"{n:016x}")))
+        actor.mailbox.wake()
+        before = len(router.events)
+        while len(router.events) == before:
+            await asyncio.sleep(0)
+        assert len(router.events) == before + MIN_MESSAGES_PER_SLICE
+        actor.cancel()
+
+    on_loop(scenario)
+
+
+def test_connections_with_a_backlog_delay_others_by_few_reads(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        manager = make_manager()
+        flooders, usual = [Peer(manager) for _ in range(20)], Peer(manager)
+        for n, peer in enumerate(flooders):
+            peer.sock.send(flood(n * 200, 150))
+        await until(lambda: all(p.connection.has_requested for p in flooders), "each was read once")
+        reads = list[ClientConnection]()
+        receive = ClientConnection.receive
+
+        def note_and_receive(connection: ClientConnection) -> None:
+            reads.append(connection)
+            receive(connection)
+
+        monkeypatch.setattr(ClientConnection, "receive", note_and_receive)
+        usual.sock.send(PING)
+        await until(lambda: usual.connection in reads, "the usual client is read")
+        assert reads.index(usual.connection) <= 2 * MAX_BULK_READS
+        await until(lambda: not manager.reads.count_waiting(), "all is read in the end")
+        for peer in (*flooders, usual):
+            peer.connection.close()
+
+    on_loop(scenario)
+
+
+def test_a_turn_of_reads_ends_after_its_time_and_goes_on_in_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        adjustable = AdjustableClock(monkeypatch)
+        monkeypatch.setattr(clock, "now", lambda: adjustable.offset_ns)
+        manager, turns = make_manager(), list[list[int]]()
+        peers = [Peer(manager) for _ in range(12)]
+        number_by_connection = {peer.connection: n for n, peer in enumerate(peers)}
+
+        def read_slowly(connection: ClientConnection) -> None:
+            turns[-1].append(number_by_connection[connection])
+            adjustable.advance(MAX_TURN_NS // 2)
+
+        monkeypatch.setattr(ClientConnection, "receive", read_slowly)
+        for peer in peers:
+            manager.reads.enqueue(peer.connection)
+        while manager.reads.count_waiting():
+            turns.append([])
+            await asyncio.sleep(0)
+        assert [n for turn in turns for n in turn] == list(range(12))
+        assert max(len(turn) for turn in turns) == 2
+        for peer in peers:
+            peer.connection.close()
+
+    on_loop(scenario)
