A request whose time ends while it waits for the module is answered then

Change: every 20 ms the module handles the waiting requests whose time is over ahead of their turn; the router refuses them as it does any request without time left.

--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -63,6 +63,7 @@
 MAX_MAILBOX_MESSAGES = 1024
 # What the module handles before other tasks run: messages at least, and further ones within this time.
 MIN_MESSAGES_PER_SLICE, MAX_SLICE_NS = 32, 10 * clock.MS
+EXPIRY_CHECK_INTERVAL_NS = 20 * clock.MS  # between looks at the time of requests that wait for their turn
 
 
 class ModuleActor(Actor[ToModule]):
@@ -86,6 +87,7 @@
         caches: Actors by machine number.
         timers: The router's timers: its token and the number of the request it is about, -1 for none.
         pending_events: Events that follow from actions, dispatched after them.
+        next_expiry_check_ns: When to look at the time of waiting requests again.
         router: The decision module.
         has_endpoint_list: A full endpoint list has been applied.
         overrides: Changes the router's events, if the operator's file has the section `agreement`.
@@ -114,6 +116,7 @@
         self.wakeup_timer: asyncio.TimerHandle | None = None
         self.wakeup_at_ns = 0
         self.pending_events: deque[io.Event] = deque()
+        self.next_expiry_check_ns = 0
         self.router = Router(config.settings, config.seed, clock.now())
         self.has_endpoint_list = False
         self.overrides: RouterOverrides | None = None
@@ -142,6 +145,7 @@
 
         The slice is one of time, since a turn of the other tasks may bring many messages and take long.
         """
+        self._handle_expired_requests(clock.now())
         ends_at_ns, handled_count = clock.now() + MAX_SLICE_NS, 0
         while handled_count < MIN_MESSAGES_PER_SLICE or clock.now() < ends_at_ns:
             self._fire_due_timers()
@@ -152,6 +156,21 @@
             handled_count += 1
         return True
 
+    def _handle_expired_requests(self, now: int) -> None:
+        """Handle the waiting requests whose time is over now, ahead of their turn."""
+        if now < self.next_expiry_check_ns:
+            return
+        self.next_expiry_check_ns = now + EXPIRY_CHECK_INTERVAL_NS
+        step = self.config.settings.step
+        expired = [
+            message
+            for message in self.mailbox.new_work
+            if isinstance(message, RequestArrived) and message.request.time_left(now) <= step
+        ]
+        for message in expired:
+            self.mailbox.remove_new_work(message)
+            self.handle_safely(message)
+
     def handle(self, message: ToModule) -> None:
         """Handle one message."""
         match message:
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -209,3 +209,37 @@
             peer.connection.close()
 
     on_loop(scenario)
+
+
+# Out of time
+
+
+def test_a_request_whose_time_ends_in_the_queue_is_answered_then(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests that are answered seconds late, when their turn comes behind a long queue."""
+
+    async def scenario() -> None:
+        adjustable = AdjustableClock(monkeypatch)
+        monkeypatch.setattr(clock, "now", lambda: adjustable.offset_ns)
+        answered_at = dict[int, int]()
+        impatient = Inbox()
+
+        def script(event: io.Event) -> list[io.Action]:
+            adjustable.advance(5 * clock.MS)
+            if not isinstance(event, io.RequestReceived):
+                return []
+            answered_at[event.request] = clock.now()
+            return [io.RejectRequest(event.request, 0)]
+
+        actor, _ = make_module(script)
+        for n in range(900):
+            patient = open_request(Inbox(), 1, f"{n:016x}", allowed_ns=30 * clock.SECOND)
+            assert actor.mailbox.try_push_new_work(RequestArrived(patient))
+        request = open_request(impatient, 1, "f" * 16, allowed_ns=300 * clock.MS)
+        assert actor.mailbox.try_push_new_work(RequestArrived(request))
+        actor.start()
+        await until(lambda: len(answered_at) == 901, "all are answered")
+        assert len(impatient.responses) == 1
+        assert answered_at[request.number] <= 300 * clock.MS + 500 * clock.MS
+        actor.cancel()
+
+    on_loop(scenario)
