Some active connections are read in each turn, also if the process is not scheduled

Cause by reading: reads of active connections ended after 10 ms by the clock, while two reads of connections with a backlog were certain. A process that is off its core spends the 10 ms there, so one active connection may be read for two of a flood.

Change: sixteen active connections at least are read in each turn, before the others. Test: test_a_turn_of_reads_ends_after_its_time_and_goes_on_in_order (one a turn before).

--- a/quincepier/net/read_scheduler.py
+++ b/quincepier/net/read_scheduler.py
@@ -21,7 +21,8 @@
 # Connections read in one turn of the event loop: active ones, ones that have been idle for long, and ones
 # with more data than is read in one turn.
 MAX_ACTIVE_READS, MAX_WAKING_READS, MAX_BULK_READS = 64, 4, 2
-MAX_TURN_NS = 10 * clock.MS  # for reads of active connections; the rest of them wait for the next turn
+# Reads of active connections end after this time; some are read even if the process was not scheduled in it.
+MAX_TURN_NS, MIN_ACTIVE_READS = 10 * clock.MS, 16
 ACTIVE_WITHIN_NS = 5 * clock.SECOND  # time since the last byte in which a connection counts as active
 
 
@@ -90,9 +91,9 @@
 
     def _run_turn(self) -> None:
         self.turn_ends_ns = clock.now() + MAX_TURN_NS
+        self._read_active()
         for connection in self.waking.start_turn() + self.bulk.start_turn():
             connection.receive()
-        self._read_active()
         if waiting := self.count_waiting():
             self.checks.count("reads_deferred", waiting)
             asyncio.get_running_loop().call_soon(self._run_turn)
@@ -100,9 +101,10 @@
             self.is_turn_scheduled = False
 
     def _read_active(self) -> None:
-        ready = deque(self.active.start_turn())
+        ready, read_count = deque(self.active.start_turn()), 0
         while ready:
             ready.popleft().receive()
-            if ready and clock.now() >= self.turn_ends_ns:
+            read_count += 1
+            if ready and read_count >= MIN_ACTIVE_READS and clock.now() >= self.turn_ends_ns:
                 self.active.end_turn(ready)
                 return
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -13,7 +13,7 @@
 from quincepier.net.client_connection import ClientConnection
 from quincepier.net.messages import RequestArrived
 from quincepier.net.module import MAX_SLICE_NS, MIN_MESSAGES_PER_SLICE
-from quincepier.net.read_scheduler import MAX_BULK_READS, MAX_TURN_NS
+from quincepier.net.read_scheduler import MAX_BULK_READS, MAX_TURN_NS, MIN_ACTIVE_READS
 from tests.attemptkit import AdjustableClock
 from tests.fcgikit import ABORT, encode_record, encode_request, params
 from tests.frontkit import Inbox, open_request
@@ -189,13 +189,13 @@
     async def scenario() -> None:
         adjustable = AdjustableClock(monkeypatch)
         monkeypatch.setattr(clock, "now", lambda: adjustable.offset_ns)
-        manager, turns = make_manager(), list[list[int]]()
-        peers = [Peer(manager) for _ in range(12)]
+        manager, turns, cost_ns = make_manager(), list[list[int]](), MAX_TURN_NS // (2 * MIN_ACTIVE_READS)
+        peers = [Peer(manager) for _ in range(4 * MIN_ACTIVE_READS)]
         number_by_connection = {peer.connection: n for n, peer in enumerate(peers)}
 
         def read_slowly(connection: ClientConnection) -> None:
             turns[-1].append(number_by_connection[connection])
-            adjustable.advance(MAX_TURN_NS // 2)
+            adjustable.advance(cost_ns)
 
         monkeypatch.setattr(ClientConnection, "receive", read_slowly)
         for peer in peers:
@@ -203,8 +203,16 @@
         while manager.reads.count_waiting():
             turns.append([])
             await asyncio.sleep(0)
-        assert [n for turn in turns for n in turn] == list(range(12))
-        assert max(len(turn) for turn in turns) == 2
+        assert [n for turn in turns for n in turn] == list(range(len(peers)))
+        assert max(len(turn) for turn in turns) == 2 * MIN_ACTIVE_READS
+        turns.clear()
+        cost_ns = MAX_TURN_NS  # as if the process were not scheduled: some are read in each turn all the same
+        for peer in peers:
+            manager.reads.enqueue(peer.connection)
+        while manager.reads.count_waiting():
+            turns.append([])
+            await asyncio.sleep(0)
+        assert [len(turn) for turn in turns] == [MIN_ACTIVE_READS] * 4
         for peer in peers:
             peer.connection.close()
 
