Readers that read nothing wait 6 s in the test of slow readers, so its shortage lasts

Trace (a trial, the front's pool logged each second): all buffers were in use as 26 responses waited, for under a second; then the requests of those readers were at their deadline of 3 s, 2,003 of 3,253 buffers stayed in use, nobody waited any more and 1,356 usual requests were served. The front frees buffers only for a response that waits, so the case is allowed; the test asked for the event on a machine that takes 3 s to get there.

Change: those requests allow 6 s, twice the class's deadline and the most that there is.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -533,7 +533,8 @@
             reader, writer = await asyncio.open_connection(*front.address, limit=1024)
             stalled.append((reader, writer))
             for k in range(1, 33):
-                writer.write(encode_request(k, params(f"{n * 100 + k:016x}", "bid")))
+                values = params(f"{n * 100 + k:016x}", "bid", HTTP_X_ALLOW_MS="6000")
+                writer.write(encode_request(k, values))
         client = await front.connect_client()
         for n in range(1, 21):
             client.send_request(n, HTTP_X_N=str(n))
