--- a/quincepier/memory/machine_directory.py
+++ b/quincepier/memory/machine_directory.py
@@ -148,6 +148,12 @@
             if entry.record.address in occupied and host not in changed
         }
 
+    def replace_numbers(self, text: str) -> str:
+        """Return a log line of the router with host ids in place of machine numbers."""
+        return " ".join(
+            self.host_by_number.get(int(word), word) if word.isdecimal() else word for word in text.split(" ")
+        )
+
     def full_list(self) -> EndpointUpdate:
         """Return all listed machines as an update for the router."""
         return EndpointUpdate(UpdateScope.FULL, tuple(entry.machine for entry in self.entry_by_host.values()))
--- a/quincepier/net/cache_fleet.py
+++ b/quincepier/net/cache_fleet.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, KeysView
 
 from quincepier.memory.machine_directory import MachineDirectory
 from quincepier.net.cache import CacheActor
@@ -32,6 +32,10 @@
         self._actor_by_number = context.actor_by_number
         self._leaving: set[int] = set()  # machines off the list that still have open connections or attempts
 
+    def numbers(self) -> KeysView[int]:
+        """Return the numbers of the machines that have an actor."""
+        return self._actor_by_number.keys()
+
     def update_all(self, force: bool = False) -> None:
         """Apply the whole list; `force`: also unchanged addresses, as the operators' file has changed."""
         listed = dict(self._directory.listed_hosts())
--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -42,14 +42,15 @@
     def on_readable(self, is_disconnected: bool = False) -> None:
         """Read now, or later if this turn of the event loop has no reads left.
 
-        A paused connection reads when it resumes. A disconnect closes the connection at once: nobody waits
-        for responses to what it has sent and is not read yet, which may be megabytes.
+        A paused connection reads when it resumes. A disconnect closes the connection at once, unless it is
+        paused and no request is open there: nobody waits for responses to what it has sent and is not read
+        yet, which may be megabytes.
 
         Args:
             is_disconnected: Whether epoll reported that the client closed its side. Where it did not report
                 that, the read finds it.
         """
-        if is_disconnected:
+        if is_disconnected and (self.is_reading or self.has_open_requests):
             self.close()
             return
         if not self.is_reading:
--- a/quincepier/net/fleet/node.py
+++ b/quincepier/net/fleet/node.py
@@ -89,7 +89,7 @@
             self._name, self._voters, incarnation, clock.boot(), self._timings, module.config.seed
         )
         self.effects = VersionEffects(module, self.follower, active_rules, section.statistics_window_s)
-        module.overrides = self.effects  # set before the first endpoint update, which it must count
+        module.set_overrides(self.effects)  # set before the first endpoint update, which it must count
         self._version_store = VersionStore(section.folder_of(self._name))
         self._voter: Voter | None = None
         self._consistency: ConsistencyService | None = None
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -26,6 +26,7 @@
 from quincepier.net.cache import CacheActor
 from quincepier.net.cache_connection_context import CacheConnectionContext
 from quincepier.net.cache_fleet import CacheFleet
+from quincepier.net.change_log_applier import ChangeLogApplier
 from quincepier.net.event_dates import EventDates
 from quincepier.net.first_byte_checks import check_first_byte
 from quincepier.net.messages import (
@@ -42,18 +43,11 @@
     SendCommand,
     ToModule,
 )
+from quincepier.net.router_timers import RouterTimers
 from quincepier.net.sockets import Descriptors
 from quincepier.policy import Router
 from quincepier.recovery import count_requesting_fronts
-from quincepier.timers import TimerWheel
-from quincepier.translate import (
-    make_attempt_completed,
-    make_object_purged,
-    make_request_received,
-    make_serve_fields,
-)
-from quincepier.wire.changelog import ChangeEvent, FleetChange, InvalidRecord, PurgeRecord
-from quincepier.wire.errors import ProtocolError
+from quincepier.translate import make_attempt_completed, make_request_received, make_serve_fields
 from quincepier.wire.lines import ServeCommand
 
 if TYPE_CHECKING:  # imported at run time only if the operator's file has their sections
@@ -85,11 +79,11 @@
         fleet: Creates and ends the actors of listed machines.
         requests: The open requests.
         caches: Actors by machine number.
-        timers: The router's timers: its token and the number of the request it is about, -1 for none.
+        timers: The router's timers.
+        change_log: Applies events of the change log.
         pending_events: Events that follow from actions, dispatched after them.
         next_expiry_check_ns: When to look at the time of waiting requests again.
         router: The decision module.
-        has_endpoint_list: A full endpoint list has been applied.
         overrides: Changes the router's events, if the operator's file has the section `agreement`.
     """
 
@@ -112,23 +106,33 @@
         self.fleet = CacheFleet(self.context, self.directory, self._count_requesting_fronts)
         self.requests = OpenRequestTable(budget.max_open_requests)
         self.caches: dict[int, CacheActor] = self.context.actor_by_number
-        self.timers: TimerWheel[tuple[int, int]] = TimerWheel(clock.now(), clock.MS)
-        self.wakeup_timer: asyncio.TimerHandle | None = None
-        self.wakeup_at_ns = 0
+        self.timers = RouterTimers(self.requests, self.mailbox.wake)
         self.pending_events: deque[io.Event] = deque()
         self.next_expiry_check_ns = 0
         self.router = Router(config.settings, config.seed, clock.now())
-        self.has_endpoint_list = False
         self.overrides: RouterOverrides | None = None
+        self.change_log = ChangeLogApplier(
+            checks,
+            self.dates,
+            self.directory,
+            self.fleet,
+            self.requests,
+            self._dispatch,
+            self.revoke_attempt,
+        )
+
+    @property
+    def has_endpoint_list(self) -> bool:
+        """Whether a full endpoint list has been applied."""
+        return self.change_log.has_endpoint_list
+
+    def set_overrides(self, overrides: RouterOverrides) -> None:
+        """Let the rules that fronts agree on change the router's events, from the first one on."""
+        self.overrides = self.change_log.overrides = overrides
 
     def start_with_known_events(self) -> None:
         """Apply the change-log events of the configuration, then start handling messages."""
-        for event in self.config.known:
-            self.dates.observe(event)
-        for event in self.config.known:
-            self._on_change_log_event(
-                event, UpdateScope.CHANGES if self.has_endpoint_list else UpdateScope.RESTORED
-            )
+        self.change_log.apply_known(self.config.known)
         self.start()
 
     async def run(self) -> None:
@@ -137,7 +141,7 @@
             if self._handle_slice():
                 await asyncio.sleep(0)
             else:
-                self._schedule_wakeup()
+                self.timers.schedule_wakeup()
                 await self.mailbox.wait()
 
     def _handle_slice(self) -> bool:
@@ -188,35 +192,14 @@
             case HealthCheckFinished(cache, outcome, elapsed_ns, load_report):
                 self._dispatch(io.HealthCheckCompleted(cache, outcome, elapsed_ns, load_report))
             case ChangeLogEvent(event, absent_at_ns):
-                self._on_change_log_event(event, UpdateScope.CHANGES, absent_at_ns)
+                self.change_log.apply(event, UpdateScope.CHANGES, absent_at_ns)
 
     # Time
 
     def _fire_due_timers(self) -> None:
-        while (timer := self.timers.take_due(clock.now())) is not None:
-            token, number = timer.payload
-            if number >= 0 and (
-                (request := self.requests.request_by_number.get(number)) is None or request.is_finished
-            ):
-                continue
+        while (token := self.timers.take_due(clock.now())) is not None:
             self._dispatch(io.TimerFired(token))
 
-    def _schedule_wakeup(self) -> None:
-        """Have the event loop wake this actor when the next timer is due."""
-        due = self.timers.next_due()
-        if due is None:
-            return
-        if self.wakeup_timer is None or self.wakeup_at_ns > due or self.wakeup_at_ns <= clock.now():
-            if self.wakeup_timer is not None:
-                self.wakeup_timer.cancel()
-            self.wakeup_at_ns = due
-            wait = max(due - clock.now(), 0) / clock.SECOND
-            self.wakeup_timer = asyncio.get_running_loop().call_later(wait, self._on_wakeup_timer)
-
-    def _on_wakeup_timer(self) -> None:
-        self.wakeup_timer = None
-        self.mailbox.wake()
-
     # Events
 
     def _dispatch(self, event: io.Event, request: OpenRequest | None = None) -> None:
@@ -288,66 +271,9 @@
         self.requests.remove_if_done(request)
         self._dispatch(event, request)
 
-    def _on_change_log_event(self, event: ChangeEvent, scope: UpdateScope, absent_at_ns: int = 0) -> None:
-        if self.overrides is not None:
-            self.overrides.on_change_log_read(event.seq, isinstance(event, FleetChange))
-        self.dates.observe(event)
-        self._redate_starts()
-        if isinstance(event, PurgeRecord):
-            self._dispatch(make_object_purged(event, self.dates.purge_age(event, absent_at_ns)))
-            self._revoke_purged(event)
-        elif isinstance(event, FleetChange):
-            if event.is_full_list and scope is UpdateScope.CHANGES:
-                scope = UpdateScope.FULL
-            try:
-                update = self.directory.apply(event, scope)
-            except ProtocolError as error:
-                self.checks.event("change_log_record_invalid", str(error))
-                return
-            for host in event.hosts:
-                for fault in host.address_errors:
-                    self.checks.event("endpoint_address_invalid", f"{host.host}: {fault}")
-            self.has_endpoint_list = self.has_endpoint_list or event.is_full_list
-            self._on_endpoint_update(update)
-            if event.is_full_list:
-                self.fleet.update_all()
-            else:
-                self.fleet.update_changed(machine.number for machine in update.endpoints)
-        elif isinstance(event, InvalidRecord):
-            self.checks.event("change_log_record_invalid", event.reason)
-
-    def _redate_starts(self) -> None:
-        """Correct start times that a later date in the log proves to be earlier, and notify the router."""
-        machines = self.directory.redate_starts(self.dates.take_unsettled_starts())
-        if machines:
-            self._on_endpoint_update(io.EndpointUpdate(UpdateScope.CHANGES, machines))
-
-    def _on_endpoint_update(self, update: io.EndpointUpdate) -> None:
-        self.apply_endpoint_update(update if self.overrides is None else self.overrides.override_list(update))
-
     def apply_endpoint_update(self, update: io.EndpointUpdate) -> None:
         """Pass an endpoint update to the router, after revoking the attempts that it rules out."""
-        self._revoke_leaving(update)
-        self._dispatch(update)
-
-    def _revoke_purged(self, purge: PurgeRecord) -> None:
-        """Revoke attempts for purged objects: if not sent yet, the router decides on them anew."""
-        for request in list(self.requests.request_by_number.values()):
-            if request.object_id == purge.object or (purge.object is None and request.group == purge.group):
-                for attempt in request.attempts:
-                    self.revoke_attempt(attempt)
-
-    def _revoke_leaving(self, update: io.EndpointUpdate) -> None:
-        """Revoke attempts at machines that drain or are gone, or that fetch from such a machine."""
-        listed = {m.number: m.state for m in update.endpoints}
-        leaving = {cache for cache, state in listed.items() if state is not io.EndpointState.READY}
-        if update.scope is not UpdateScope.CHANGES:
-            leaving |= self.caches.keys() - listed.keys()
-        if leaving:
-            for request in list(self.requests.request_by_number.values()):
-                for attempt in request.attempts:
-                    if attempt.cache in leaving or attempt.source in leaving:
-                        self.revoke_attempt(attempt)
+        self.change_log.apply_endpoint_update(update)
 
     def revoke_attempt(self, attempt: OpenAttempt) -> None:
         """Forbid the attempt's first byte from now on; no effect if it has been sent."""
@@ -391,7 +317,7 @@
                 if (request := self._find_unanswered(number)) is not None:
                     self._respond(Response(request, 502))
             case io.SetTimer(wait, token, request_number):
-                self.timers.schedule(now + max(wait, 0), (token, request_number))
+                self.timers.schedule(now + max(wait, 0), token, request_number)
             case io.SendHealthCheck(machine):
                 if machine in self.caches:
                     self.caches[machine].mailbox.push(RunHealthCheck(self.config.report_on_probe))
@@ -401,16 +327,8 @@
                     full_list if self.overrides is None else self.overrides.override_list(full_list)
                 )
             case io.WriteLog(text):
-                logger.bind(event="router", detail=(line := self._with_host_ids(text))).info(
-                    "router: {}", line
-                )
-
-    def _with_host_ids(self, text: str) -> str:
-        """Return a log line of the router with host ids in place of machine numbers."""
-        return " ".join(
-            self.directory.host_by_number.get(int(word), word) if word.isdecimal() else word
-            for word in text.split(" ")
-        )
+                line = self.directory.replace_numbers(text)
+                logger.bind(event="router", detail=line).info("router: {}", line)
 
     def _find_unanswered(self, number: int) -> OpenRequest | None:
         """Return the open request of this number; None if it has its final response or is gone."""
--- a/tests/attemptkit.py
+++ b/tests/attemptkit.py
@@ -166,7 +166,7 @@
         self.seq += 1
         record = {"seq": self.seq, "fleet": {"seq": self.seq, "whole": False, "hosts": list(hosts)}}
         (event,) = read_changes({"seq": self.seq, "results": [record]})[1]
-        self.module._on_change_log_event(event, io.UpdateScope.CHANGES)
+        self.module.change_log.apply(event, io.UpdateScope.CHANGES)
 
     def submit(self, cls: int = IMAGE, **changes: Any) -> OpenRequest:
         """Queue a request for the router's actor; its receiver is an inbox that keeps the responses."""
--- a/tests/test_crossings_addresses.py
+++ b/tests/test_crossings_addresses.py
@@ -18,8 +18,8 @@
 from quincepier.lifecycle.front import Front
 from quincepier.net import connection
 from quincepier.net.actor import Actor
+from quincepier.net.change_log_applier import ChangeLogApplier
 from quincepier.net.messages import ChangeLogEvent, RequestArrived, Response
-from quincepier.net.module import ModuleActor
 from quincepier.net.sockets import connect as plain_connect
 from quincepier.wire.changelog import FleetChange, read_changes
 from tests.frontkit import Inbox, host, open_request, raw_config
@@ -324,6 +324,6 @@
 
 
 def test_a_front_that_lets_out_what_was_decided_before_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ModuleActor, "_revoke_leaving", lambda self, news: None)
+    monkeypatch.setattr(ChangeLogApplier, "_revoke_leaving", lambda self, news: None)
     to_cache, naming_parent = count_sent_after_drain(monkeypatch)
     assert to_cache > 0 and naming_parent > 0
--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -26,7 +26,7 @@
 from quincepier.lifecycle.front import Front
 from quincepier.memory.machine_directory import MachineDirectory
 from quincepier.memory.open_requests import OpenRequest
-from quincepier.net import module, sockets, watch, watch_poll
+from quincepier.net import change_log_applier, sockets, watch, watch_poll
 from quincepier.net.actor import Actor
 from quincepier.net.messages import RequestArrived
 from quincepier.wire.changelog import PurgeRecord
@@ -280,7 +280,7 @@
     def purged(record: PurgeRecord, age: int) -> io.ObjectPurged:
         return io.ObjectPurged(record.group, record.object or 0, age + 20 * clock.SECOND)
 
-    patch.setattr(module, "make_object_purged", purged)
+    patch.setattr(change_log_applier, "make_object_purged", purged)
 
 
 def longer_backoff(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -44,7 +44,7 @@
     """Apply one event of the change log, as its watcher delivers it."""
     harness.seq += 1
     (event,) = read_changes({"seq": harness.seq, "results": [{"seq": harness.seq} | record]})[1]
-    harness.module._on_change_log_event(event, io.UpdateScope.CHANGES)
+    harness.module.change_log.apply(event, io.UpdateScope.CHANGES)
 
 
 async def requested_max_age_ms(harness: FrontHarness) -> int:
