--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 from tests.limitkit import object_id, play_with_descriptors, stop_and_read_counters
 from tests.standins import Behaviour, Front, ReceivedCommand, until
 from tests.test_actors import make_module
+from tests.test_crossings_client import push_response
 from tests.test_idle import PING, Peer, make_manager, on_loop
 
 FLOODERS, FLOOD_REQUESTS = 12, 200
@@ -96,6 +98,26 @@
     on_loop(scenario)
 
 
+def test_a_client_that_half_closes_after_invalid_data_gets_what_it_is_owed() -> None:
+    """Its connection is paused and has no open request: the response under way is written to its end."""
+
+    async def scenario() -> None:
+        manager, large = make_manager(), os.urandom(40_000) * 6
+        peer = Peer(manager)
+        peer.sock.send(encode_request(1, params("1" * 16)) + b"\xff" * 64)
+        await until(lambda: bool(manager.module.new_work), "the request is read")
+        message = manager.module.take()
+        assert isinstance(message, RequestArrived)
+        push_response(manager, message.request, large)
+        await until(lambda: peer.connection.write_task is not None, "the socket is full")
+        peer.sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.05)  # the front is told of it
+        await until(lambda: peer.answered(1), "the response arrives")
+        assert peer.reader.response_by_request[1].body == large
+
+    on_loop(scenario)
+
+
 def test_usual_requests_are_taken_beside_a_flood_of_requests_taken_back(tmp_path: Path) -> None:
     """The flood fills no queue: no usual request is turned away for it, and each has its final answer."""
 
