--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -276,6 +276,7 @@
     answered_at: float = 0.0
     answers: int = 0
     closed_at: float = 0.0  # the connection ended without an answer
+    is_written: bool = False  # the system has taken its last byte
     done: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -319,7 +320,16 @@
             values["CONTENT_LENGTH"] = str(len(body))
         request.sent_at = self.record.now()
         self.record.write("request", request.job, request.cls, request.item, request.part, request.allow_ms)
+        request.is_written = False
         self.writer.write(encode_request(self.next_id, values, body))
+        self._note_written(request)
+
+    def _note_written(self, request: Request) -> None:
+        """Note whether the system has taken all that was written; else look again soon."""
+        if self.writer.transport.get_write_buffer_size() == 0:
+            request.is_written = not self.is_closed
+        elif not self.writer.is_closing():
+            asyncio.get_running_loop().call_later(0.0005, self._note_written, request)
 
     async def _read(self) -> None:
         try:
@@ -401,6 +411,7 @@
     def __init__(self, folder: Path, record: Record, config: dict[str, Any]) -> None:
         self.folder, self.record, self.config = folder, record, config
         self.path = folder / f"{config['name']}.json"
+        self.operator_file: Path | None = None  # the operators' file, if any
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
         self.log_task: asyncio.Task[None] | None = None
@@ -424,6 +435,8 @@
             "ROUTER_NAME": self.config["name"], "ROUTER_LISTEN": self.address,
             "ROUTER_CONFIG": str(self.path), "TMPDIR": str(self.folder),
         }  # fmt: skip
+        if self.operator_file is not None:
+            environment["ROUTER_OPERATOR"] = str(self.operator_file)
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
@@ -554,8 +567,11 @@
             listed.append(host(name, machine.address, kinds[name[0]], **hosts.get(name.replace("-", ""), {})))
         self.log.add(fleet={"seq": 1, "whole": True, "hosts": listed})
 
-    async def front(self, settings: dict[str, Any], **changes: Any) -> Front:
+    async def front(
+        self, settings: dict[str, Any], operator_file: Path | None = None, **changes: Any
+    ) -> Front:
         front = Front(self.folder, self.record, make_config(self.log, settings, **changes))
+        front.operator_file = operator_file
         self.fronts.append(front)
         await front.start()
         return front
