--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,83 +1,84 @@
-"""Silent clients connect by hundreds while the usual clients, who rest, all ask at once.
-
-The front closes resting connections to make room for the silent ones, without a look at what has arrived on them.
-"""
+"""Twenty bad clients send hundreds of requests at once, go, and come again at once, beside usual clients."""
 
 import asyncio
-import socket
 import sys
 from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins_2 import (  # noqa: E402
-    BROKEN, HELD, VOID, Clients, Connection, Request, Stage, answer_after, disrupted, make_settings, play, split,
+    BROKEN, HELD, VOID, Clients, Connection, Request, Stage, answer_after, disrupted, make_settings, play,
 )  # fmt: skip
 
-DESCRIPTORS = 1024  # real/DEPLOY.md: 1,024 on scored days at most
-USUAL = DESCRIPTORS // 3  # real/PROTOCOL.md: clients hold at most a third of the descriptor limit
-REST_S = 6.0  # more/mass/STANDING.md: some clients rest until the front ends them
-SILENT, PER_STEP, STEP_S = 400, 10, 0.015  # silent clients (service/LATER.md: "by hundreds")
-LEAD_S = 0.25  # from the first silent client until the usual ones ask
-CROSSING_S = 0.05  # real/PROTOCOL.md: a request that crosses a close within 50 ms is sent again
-READING_S = 0.02  # allowed for this process to see the close
-
-
-async def connect_silently(address: str, sockets: list[socket.socket]) -> None:
-    for n in range(SILENT):
-        sock = socket.socket()
-        sock.setblocking(False)
-        sock.connect_ex(split(address))
-        sockets.append(sock)
-        if n % PER_STEP == PER_STEP - 1:
-            await asyncio.sleep(STEP_S)
+FOLDER = Path(__file__).resolve().parent
+CONNECTIONS, RATE, ALLOW_MS = 8, 150, 3000  # of the usual clients
+PROCESSES, BAD_EACH, REQUESTS = 4, 5, 200  # of the bad clients
+QUIET_S, FLOOD_S, AFTER_S = 2.0, 5.0, 2.0
+CROSSING_S = 0.05  # real/PROTOCOL.md: a request that crosses a close within 50 ms is sent again, once
+LATE_S = 0.55  # more/mass/STANDING.md: half a second after its time; on sockets 50 ms longer
+MAX_LAG_S = 0.3  # of this process; above it the case says nothing
 
 
 async def scenario(stage: Stage) -> int:
     record = stage.record
-    answers = {f"s-{n}": answer_after(0.03, 20_000) for n in range(1, 9)}
-    await stage.lay(answers | {"p-1": answer_after(0.03, 20_000), "o-1": answer_after(0.03, 20_000)})
-    limits = {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS}
-    front = await stage.front(make_settings(), limits=limits)
-    clients, lost, silent = Clients(record, front.address), list[Request](), list[socket.socket]()
-    asked = list[Request]()
-    for round_number in range(1, 3):
-        connections = list[Connection]()
-        for _ in range(USUAL):
-            connections.append(await Connection.connect(record, front.address))
-            connections[-1].send(clients.make("lot-image", 3000))
-            await asyncio.sleep(0.002)
-        await asyncio.sleep(REST_S)
-        flood = None
-        if disrupted():
-            record.write("silent clients begin to connect")
-            flood = asyncio.create_task(connect_silently(front.address, silent))
-            await asyncio.sleep(LEAD_S)
-        requests = list[Request]()
-        for connection in connections:
-            if not connection.is_closed:  # otherwise a sound client connects anew
-                requests.append(clients.make("lot-image", 3000))
-                connection.send(requests[-1])
-        await asyncio.sleep(4)
-        if flood is not None:
-            await flood
-        broken = [r for r in requests if not r.answers and r.closed_at - r.sent_at > CROSSING_S + READING_S]
-        late = sorted(round(r.closed_at - r.sent_at, 3) for r in broken)
-        verdicts = dict(Counter(r.verdict for r in requests))
-        record.say(f"round {round_number}: {len(requests)} requests on resting connections: {verdicts};"
-                   f" {len(broken)} had been written over {CROSSING_S + READING_S:.2f} s before their connection ended"
-                   f" without an answer: {late[:8]}")  # fmt: skip
-        asked += requests
-        lost += broken
-        for sock in silent:
-            sock.close()
-        silent.clear()
-        for connection in connections:
+    answers = {f"s-{n}": answer_after(0.02) for n in range(1, 5)}
+    await stage.lay(answers | {"p-1": answer_after(0.02), "o-1": answer_after(0.02)})
+    front = await stage.front(make_settings())
+    clients = Clients(record, front.address, connections=CONNECTIONS)
+    again, closed, lag = list[Request](), list[Request](), 0.0
+
+    async def watch_lag() -> None:
+        nonlocal lag
+        while True:
+            at = record.now()
+            await asyncio.sleep(0.01)
+            lag = max(lag, record.now() - at - 0.01)
+
+    async def ask(request: Request) -> None:
+        await clients.send(request)
+        await request.done.wait()
+        if not request.answers and request.closed_at - request.sent_at <= CROSSING_S:
+            again.append(request)
+            request.closed_at = 0.0
+            request.done.clear()
+            connection = await Connection.connect(record, front.address)
+            connection.send(request)
+            await request.done.wait()
             connection.close()
-        await asyncio.sleep(1)
-    if front.has_ended or len(asked) < USUAL:
+        if not request.answers and request.is_written:
+            record.write("lost", request.job, f"{request.closed_at - request.sent_at:.3f} s after it was written")
+            closed.append(request)
+
+    lag_task = asyncio.create_task(watch_lag())
+    asked, bad = list[asyncio.Task[None]](), list[asyncio.subprocess.Process]()
+    began = record.now()
+    while (elapsed := record.now() - began) < QUIET_S + FLOOD_S + AFTER_S:
+        if disrupted() and not bad and elapsed >= QUIET_S:
+            record.say("the bad clients begin")
+            arguments = front.address, str(BAD_EACH), str(FLOOD_S), str(REQUESTS)
+            for _ in range(PROCESSES):
+                bad.append(
+                    await asyncio.create_subprocess_exec(sys.executable, "-B", FOLDER / "bad.py", *arguments)
+                )
+        cls = "lot-image" if clients.random.random() < 0.5 else "lot-video"
+        asked.append(asyncio.create_task(ask(clients.make(cls, ALLOW_MS))))
+        await asyncio.sleep(1 / RATE)
+    await asyncio.wait(asked, timeout=ALLOW_MS / 1000 + 3)
+    lag_task.cancel()
+    for process in bad:
+        await process.wait()
+    allowed = ALLOW_MS / 1000 + LATE_S + lag
+    late = [r for r in clients.requests if r.answers and r.answered_at - r.sent_at > allowed]
+    unanswered = [r for r in clients.requests if not r.answers and not r.closed_at]
+    verdicts = dict(sorted(Counter(r.verdict for r in clients.requests).items()))
+    latest = max((r.answered_at - r.sent_at for r in clients.requests if r.answers), default=0.0)
+    waits = sorted(round(r.closed_at - r.sent_at, 2) for r in closed)
+    record.say(f"{len(asked)} requests: {verdicts}; {len(again)} sent again; {len(closed)} ended without an answer"
+               f" (after {waits[:1]} to {waits[-1:]} s); {len(late)} answered over {LATE_S} s past their time (the last"
+               f" {latest:.2f} s after it was sent); {len(unanswered)} have none; lag {lag:.2f} s")  # fmt: skip
+    if front.has_ended or len(asked) < 500 or lag > MAX_LAG_S:
         return VOID
-    return BROKEN if lost else HELD
+    return BROKEN if closed or late or unanswered else HELD
 
 
 play(__file__, scenario)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,56 +1,83 @@
-"""Discovery is down for 8 s; a cache begins to drain as the outage begins; the drain grace is 1 s."""
+"""Silent clients connect by hundreds while the usual clients, who rest, all ask at once.
+
+The front closes resting connections to make room for the silent ones, without a look at what has arrived on them.
+"""
 
 import asyncio
+import socket
 import sys
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins_2 import BROKEN, HELD, VOID, Stage, answer_after, disrupted, make_settings, play  # noqa: E402
+from standins_2 import (  # noqa: E402
+    BROKEN, HELD, VOID, Clients, Connection, Request, Stage, answer_after, disrupted, make_settings, play, split,
+)  # fmt: skip
 
-OUTAGE_S = 8.0  # STANDING.md, herd+mass
-TOLD_S = 7.0  # real/PROTOCOL.md: told 7 s later at the latest
-GRACE_S = 1.0 + 0.05  # tunisia-branches.toml: drain_grace_ms = 1000; on sockets 50 ms longer
-INTERVAL_S = 1 / 120  # between requests
+DESCRIPTORS = 1024  # real/DEPLOY.md: 1,024 on scored days at most
+USUAL = DESCRIPTORS // 3  # real/PROTOCOL.md: clients hold at most a third of the descriptor limit
+REST_S = 6.0  # more/mass/STANDING.md: some clients rest until the front ends them
+SILENT, PER_STEP, STEP_S = 400, 10, 0.015  # silent clients (service/LATER.md: "by hundreds")
+LEAD_S = 0.25  # from the first silent client until the usual ones ask
+CROSSING_S = 0.05  # real/PROTOCOL.md: a request that crosses a close within 50 ms is sent again
+READING_S = 0.02  # allowed for this process to see the close
 
 
-async def scenario(stage: Stage) -> int:
-    from standins_2 import Clients
+async def connect_silently(address: str, sockets: list[socket.socket]) -> None:
+    for n in range(SILENT):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(split(address))
+        sockets.append(sock)
+        if n % PER_STEP == PER_STEP - 1:
+            await asyncio.sleep(STEP_S)
 
+
+async def scenario(stage: Stage) -> int:
     record = stage.record
-    answers = {f"s-{n}": answer_after(0.03) for n in range(1, 5)}
-    await stage.lay(answers | {"p-1": answer_after(0.03), "o-1": answer_after(0.03)})
-    rules = {"drain_grace": 1_000_000_000}
-    front = await stage.front(make_settings(rules=rules))
-    clients = Clients(record, front.address)
-
-    async def load(until: float) -> None:
-        while record.now() < until:
-            await clients.send(clients.make("lot-image", 3000))
-            await asyncio.sleep(INTERVAL_S)
-
-    await load(record.now() + 3)
-    began = record.now()
-    if disrupted():
-        stage.log.stop()
-        record.say("discovery is down")
-    drained = "s-1"
-    stage.change(drained, health="DRAINING")
-    in_log = record.now()
-    limit = in_log + (TOLD_S if disrupted() else 0.0) + GRACE_S
-    await load(began + OUTAGE_S)
-    if disrupted():
-        await stage.log.start()
-        record.say("discovery is back", f"{record.now() - began:.3f} s after it went down")
-    await load(record.now() + 3)
-    await asyncio.sleep(0.5)
-    late = [c for c in stage.machines[drained].commands if c.first_at > limit]
-    served = sum(r.verdict == "served" for r in clients.requests)
-    record.say(f"{len(clients.requests)} requests, {served} served; {drained} got"
-               f" {len(stage.machines[drained].commands)} commands, {len(late)} of them later than told + grace"
-               f" ({limit:.3f})", *(f"{c.id} at {c.first_at:.3f}" for c in late[:5]))  # fmt: skip
-    if not stage.machines[drained].commands or served < 0.5 * len(clients.requests):
+    answers = {f"s-{n}": answer_after(0.03, 20_000) for n in range(1, 9)}
+    await stage.lay(answers | {"p-1": answer_after(0.03, 20_000), "o-1": answer_after(0.03, 20_000)})
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS}
+    front = await stage.front(make_settings(), limits=limits)
+    clients, lost, silent = Clients(record, front.address), list[Request](), list[socket.socket]()
+    asked = list[Request]()
+    for round_number in range(1, 3):
+        connections = list[Connection]()
+        for _ in range(USUAL):
+            connections.append(await Connection.connect(record, front.address))
+            connections[-1].send(clients.make("lot-image", 3000))
+            await asyncio.sleep(0.002)
+        await asyncio.sleep(REST_S)
+        flood = None
+        if disrupted():
+            record.write("silent clients begin to connect")
+            flood = asyncio.create_task(connect_silently(front.address, silent))
+            await asyncio.sleep(LEAD_S)
+        requests = list[Request]()
+        for connection in connections:
+            if not connection.is_closed:  # otherwise a sound client connects anew
+                requests.append(clients.make("lot-image", 3000))
+                connection.send(requests[-1])
+        await asyncio.sleep(4)
+        if flood is not None:
+            await flood
+        broken = [r for r in requests if not r.answers and r.closed_at - r.sent_at > CROSSING_S + READING_S]
+        late = sorted(round(r.closed_at - r.sent_at, 3) for r in broken)
+        verdicts = dict(Counter(r.verdict for r in requests))
+        record.say(f"round {round_number}: {len(requests)} requests on resting connections: {verdicts};"
+                   f" {len(broken)} had been written over {CROSSING_S + READING_S:.2f} s before their connection ended"
+                   f" without an answer: {late[:8]}")  # fmt: skip
+        asked += requests
+        lost += broken
+        for sock in silent:
+            sock.close()
+        silent.clear()
+        for connection in connections:
+            connection.close()
+        await asyncio.sleep(1)
+    if front.has_ended or len(asked) < USUAL:
         return VOID
-    return BROKEN if late else HELD
+    return BROKEN if lost else HELD
 
 
 play(__file__, scenario)
