Review: an error of a case is no broken rule

Cause: an exception in a case ended it with 1, which stands for a broken rule. Change: run.sh makes 2 of everything but the two verdicts, and a case ends the processes that it started in any case.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -50,7 +50,7 @@
             closed.append(request)
 
     lag_task = asyncio.create_task(watch_lag())
-    asked, bad = list[asyncio.Task[None]](), list[asyncio.subprocess.Process]()
+    asked, bad = list[asyncio.Task[None]](), stage.processes
     began = record.now()
     while (elapsed := record.now() - began) < QUIET_S + FLOOD_S + AFTER_S:
         if disrupted() and not bad and elapsed >= QUIET_S:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -24,8 +24,9 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-HELD, BROKEN, VOID = 0, 1, 2  # exit codes of a case
-PORTS: list[socket.socket] = []
+# Exit codes of a case's Python program. run.sh makes 1 of BROKEN, and 2 of all others but 0: an error of the case itself
+# must not be taken for a broken rule.
+HELD, BROKEN, VOID = 0, 10, 2
 
 
 def disrupted() -> bool:
@@ -554,6 +555,7 @@
     machines: dict[str, Machine] = field(default_factory=dict)
     log: ChangeLog = None  # type: ignore[assignment]
     fronts: list[Front] = field(default_factory=list)
+    processes: list[asyncio.subprocess.Process] = field(default_factory=list)  # further ones, ended with the case
 
     async def lay(self, machines: dict[str, Behaviour], **hosts: dict[str, Any]) -> None:
         """Start machines (names: s.. caches, p.. parents, o.. origin) and the log with their whole list."""
@@ -594,10 +596,14 @@
             try:
                 async with asyncio.timeout(110):
                     return await scenario(stage)
-            except (OSError, RuntimeError, TimeoutError) as error:
+            except Exception as error:  # noqa: BLE001 - whatever it is, it says nothing of the front
                 record.say("the case could not run:", type(error).__name__, error)
                 return VOID
             finally:
+                for process in stage.processes:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.wait()
                 for front in stage.fronts:
                     await front.kill()
                 for machine in stage.machines.values():
