Whole bids are read before clients are ended over the limit on bodies

Cause: over the limit the connection with most unfinished bytes was ended, which is a bid read in part; a close read 16 KiB at most before it discarded the rest. Change: net/body_memory.py chooses those of which all was read and that are unfinished for longest, after reading their sockets empty; a complete request makes room in the same way; closes read until the socket is empty.

--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -131,8 +131,7 @@
         if self.timer is not None:
             manager.timers.cancel(self.timer)
             self.timer = None
-        manager.body_bytes -= self.partial_bytes
-        self.partial_bytes = 0
+        manager.bodies.set_partial(self, 0)
         manager.registry.remove(self)
         manager.busy_connections.discard(self)
         if session is not None:
@@ -163,12 +162,13 @@
     def close_gracefully(self) -> None:
         """Close the connection unless it owes responses.
 
-        What has arrived and was not read yet is read first: it may hold a complete request.
+        What has arrived and was not read yet is read first: it may hold a complete request. A connection with
+        more than is read at once stays open.
         """
         if not (self.is_closed or self.owes_responses or self.is_flush_scheduled):
             self.is_reading = not self.is_read_closed  # also where reading was paused
-            self.receive()
-            if not (self.is_closed or self.owes_responses or self.is_flush_scheduled):
+            is_empty = self.read_until_empty()
+            if is_empty and not (self.is_closed or self.owes_responses or self.is_flush_scheduled):
                 self.close(linger=True)
 
     def reject_queued_requests(self) -> None:
--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -16,6 +16,9 @@
 
 PARTIAL_REQUEST_TIMEOUT_S = 2.0  # from the first byte of a request or record to its last
 MAX_CONSECUTIVE_READS = 4  # reads of one connection before others are served
+# Reads of one connection before it is closed, to find a complete request: at least those of the longest one,
+# and further ones within this time.
+MIN_READS_UNTIL_EMPTY, MAX_READ_UNTIL_EMPTY_NS = 8, 5 * clock.MS
 # Pause in reading after a bad request; it doubles with each further one, up to the maximum.
 BAD_REQUEST_PAUSE_S, MAX_BAD_REQUEST_PAUSE_S = 0.02, 1.0
 # Short responses queued while the socket takes nothing; ordinary clients have 32 requests open.
@@ -95,6 +98,37 @@
         It reads until the socket is empty, since the edge-triggered epoll reports data once. A connection
         with more data than it may read in one turn is queued for a later one.
         """
+        self._receive()
+        self.manager.bodies.enforce()
+
+    def read_until_empty(self) -> bool:
+        """Read what has arrived, more than in a turn if need be; return whether the socket was found empty.
+
+        A paused connection is not read, and counts as empty.
+        """
+        until_ns, reads = clock.now() + MAX_READ_UNTIL_EMPTY_NS, 0
+        while self.is_reading and (reads < MIN_READS_UNTIL_EMPTY or clock.now() < until_ns):
+            self.receive()
+            reads += 1
+            if not self.has_backlog:
+                return True
+        return not self.is_reading
+
+    def is_partial_after_reading(self) -> bool:
+        """Read what has arrived; return whether the oldest incomplete request is still incomplete."""
+        if self.is_closed or self.session is None:
+            return False
+        partial = self.session.partial
+        self.read_until_empty()
+        session = self.session
+        return session is not None and session.partial is not None and session.partial == partial
+
+    @property
+    def partial_since(self) -> int:
+        """When the oldest incomplete request was first seen, by the active clock, ns; 0 if there is none."""
+        return 0 if self.session is None else self.session.partial_since
+
+    def _receive(self) -> None:
         try:
             for _ in range(MAX_CONSECUTIVE_READS):
                 if not self.is_reading:  # closed, its read side closed, or paused
@@ -139,7 +173,9 @@
             manager.busy_connections.add(self.client_connection)
         was_read_closed, decoder = self.is_read_closed, session.decoder
         # After a protocol error data is read only to notice a disconnect.
-        for item in decoder.feed(manager.read_buffer[:size]) if decoder.error is None else ():
+        items = decoder.feed(manager.read_buffer[:size]) if decoder.error is None else []
+        manager.bodies.set_partial(self, decoder.buffered_bytes)
+        for item in items:
             match item:
                 case fastcgi.FastCgiRequest() | fastcgi.Reply() if was_read_closed:
                     pass  # only aborts are handled
@@ -159,11 +195,6 @@
         if decoder.error is not None and not was_read_closed:
             self.stop_reading(decoder.error)
             return
-        partial_bytes = decoder.buffered_bytes
-        if partial_bytes or self.partial_bytes:
-            manager.account_partial_bytes(self.client_connection, partial_bytes)
-            if self.is_closed:
-                return
         if self._update_partial(session, manager.active_clock.read(now)):
             self._schedule_check(PARTIAL_REQUEST_TIMEOUT_S)
         if self.is_read_closed or self.bad_request_count != bad_requests_before:
@@ -185,8 +216,7 @@
             return
         self.manager.checks.event("client_protocol_error", str(fault))
         session.decoder.fail(fault)
-        self.manager.body_bytes -= self.partial_bytes
-        self.partial_bytes = 0
+        self.manager.bodies.set_partial(self, 0)
         self.is_read_closed = self.closes_when_sent = True
         self._pause_reading()
         if self.has_open_requests:  # resumes to notice a disconnect
@@ -219,7 +249,7 @@
                 session, call.id, cgi_head(503, retry_after_ms=manager.draw_retry_after_ms())
             )
             return
-        if manager.body_bytes + len(call.body) > manager.max_body_bytes:
+        if not manager.bodies.make_room(len(call.body), self):
             manager.checks.event("request_rejected_body_limit")
             self._queue_response(
                 session, call.id, cgi_head(503, retry_after_ms=manager.draw_retry_after_ms())
@@ -232,7 +262,7 @@
             )
             return
         session.request_by_stream[call.id] = request
-        manager.body_bytes += len(request.body)
+        manager.bodies.add(len(request.body))
 
     def _on_abort(self, session: ClientSession, stream_id: int) -> None:
         session.keep_open_by_stream.pop(stream_id, None)
--- a/quincepier/net/client_write_side.py
+++ b/quincepier/net/client_write_side.py
@@ -47,7 +47,6 @@
         last_activity_ns: When bytes were last sent or received.
         last_sent_ns: When the socket last took bytes.
         accepted_at: When the connection was admitted, by the manager's active clock, ns.
-        partial_bytes: Bytes of incomplete requests that are counted in the manager's `body_bytes`.
         bad_request_count: Requests that could not be used.
         closing_since: When the connection began to close, by the active clock, ns; 0: it did not.
         readable_since_ns: When data was found that has not been read yet; 0: none is known.
@@ -73,7 +72,6 @@
         "last_activity_ns",
         "last_sent_ns",
         "manager",
-        "partial_bytes",
         "readable_since_ns",
         "session",
         "sock",
@@ -92,7 +90,7 @@
         self.write_task: asyncio.Task[None] | None = None
         self.last_activity_ns = self.last_sent_ns = clock.now()
         self.accepted_at = manager.active_clock.time
-        self.partial_bytes = self.bad_request_count = self.closing_since = 0
+        self.bad_request_count = self.closing_since = 0
         self.readable_since_ns = 0
         self.earliest_arrival_ns = 0
         self.socket_empty_at_ns = 0
@@ -270,7 +268,7 @@
         raise NotImplementedError
 
     def _release_body(self, request: OpenRequest) -> None:
-        self.manager.body_bytes -= len(request.body)
+        self.manager.bodies.release(len(request.body))
 
     def _withdraw(self, request: OpenRequest) -> None:
         """Cancel a request that the client took back; the module is notified only if it has taken it."""
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -16,13 +16,13 @@
 from quincepier import clock
 from quincepier.clients import AdmissionResult, ConnectionLimits, ConnectionRegistry
 from quincepier.net.actor_dependencies import ActorDependencies
+from quincepier.net.body_memory import BodyMemory
 from quincepier.net.client_connection import ClientConnection
 from quincepier.net.lingering_sockets import POLL_INTERVAL_S, LingeringSockets
 from quincepier.net.read_scheduler import ReadScheduler
 from quincepier.net.sockets import is_writable
 from quincepier.timers import ActiveClock, TimerWheel
 from quincepier.translate import make_class_table
-from quincepier.wire.errors import ProtocolError
 
 if TYPE_CHECKING:  # imported only if the operators' file has a section `clients`
     from quincepier.clients.section import ClientNetworks
@@ -40,8 +40,6 @@
 MIN_STALL_S = 2.0
 # Time without a byte read after which the responses of a client may fail if others wait for buffers.
 MIN_BUFFER_STALL_S = 0.5
-# Share of the body limit that partial requests may use; beyond it the largest of them is stopped.
-MAX_PARTIAL_SHARE = 0.5
 MIN_RETRY_AFTER_SHARE = 0.6  # of the longest retry time: rejected clients come back at different times
 
 
@@ -64,8 +62,7 @@
         networks: Connection limits by client network; None without the section `clients` of the operators'
             file.
         registry: Decides on admission and on the connections to close for new ones.
-        body_bytes: Bytes of bodies of open requests and of partial requests.
-        max_body_bytes: Limit on `body_bytes`.
+        bodies: Accounts for the bodies of requests and enforces their limit.
         read_buffer: One buffer into which all connections are read; its content is decoded at once.
         lingering: Sockets closed for writing that still wait for the client's close.
         active_clock: A clock that does not count process pauses.
@@ -103,7 +100,7 @@
         limit = self.descriptors.max_clients
         limits = ConnectionLimits(limit) if networks is None else networks.make_limits(limit)
         self.registry: ConnectionRegistry[ClientConnection] = ConnectionRegistry(limits)
-        self.body_bytes, self.max_body_bytes = 0, dependencies.memory_budget.max_body_bytes
+        self.bodies = BodyMemory(dependencies.memory_budget.max_body_bytes, self.checks)
         buffers = dependencies.buffer_pool.acquire()
         assert buffers is not None, "the buffer pool has no buffer to read into"
         self.read_buffer = memoryview(buffers[0])
@@ -219,18 +216,6 @@
             self.checks.event("slow_client_closed_buffer_limit")
             stalled.close()
 
-    def account_partial_bytes(self, connection: ClientConnection, partial_bytes: int) -> None:
-        """Account for the bytes of a connection's partial requests; over the limit the largest is stopped."""
-        self.body_bytes += partial_bytes - connection.partial_bytes
-        connection.partial_bytes = partial_bytes
-        if self.body_bytes <= self.max_body_bytes or not partial_bytes:
-            return
-        # Partial requests are not stopped for the bytes of complete ones: they are rejected when complete.
-        if sum(c.partial_bytes for c in self.busy_connections) > self.max_body_bytes * MAX_PARTIAL_SHARE:
-            self.checks.event("client_closed_partial_request_limit")
-            largest = max(self.busy_connections, key=lambda c: c.partial_bytes)
-            largest.stop_reading(ProtocolError(f"{largest.partial_bytes} bytes of incomplete requests"))
-
     def sweep(self, now: int) -> None:
         """Handle the timers that are due and update `stalled`.
 
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -469,18 +469,66 @@
         peer = Peer(manager)
         peer.send(SECOND_REQUEST)
         await until(lambda: bool(received_job_ids(manager)), "the request is read")
-        manager.max_body_bytes = 20_000
+        manager.bodies.max_bytes = 20_000
         half = encode_request(3, params("3" * 16, "bid"), b"x" * 40_000)[:-100]
         peer.send(half)
         await until(
             lambda: manager.checks.counts["client_closed_partial_request_limit"] > 0, "the client is stopped"
         )
-        assert manager.body_bytes <= 20_000
+        assert manager.bodies.used_bytes <= 20_000
         await answered_and_closed(manager, peer, "2" * 16)
 
     on_loop(scenario)
 
 
+BID = encode_request(2, params("2" * 16, "bid"), b"y" * 48_000)  # longer than three reads
+
+
+@pytest.mark.parametrize("held_bytes", [12_000, 30_000, 47_000])
+@pytest.mark.parametrize("came_first", [False, True])
+def test_a_whole_bid_is_not_lost_beside_clients_that_stop_within_their_requests(
+    held_bytes: int, came_first: bool
+) -> None:
+    """Guards against: over the limit the bid that is just being read is the largest request and is ended."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        usual = Peer(manager)
+        if came_first:
+            usual.send(BID[:10_000])
+            await until(lambda: usual.at_front in manager.bodies.partial_by_connection, "a part is read")
+        stopped = [Peer(manager) for _ in range(20)]
+        for peer in stopped:
+            peer.send(encode_request(1, params("1" * 16, "bid"), b"x" * 48_000)[:held_bytes])
+        await until(lambda: manager.bodies.partial_bytes > 20 * held_bytes - 1_000, "all of it is read")
+        manager.bodies.max_bytes = manager.bodies.used_bytes + 1_000
+        usual.send(BID[10_000 * came_first :])
+        await until(lambda: bool(received_job_ids(manager)), "the bid is read")
+        assert received_job_ids(manager) == ["2" * 16] and not usual.at_front.is_closed
+        assert manager.checks.counts["client_closed_partial_request_limit"] in range(1, 5)
+        assert manager.bodies.used_bytes <= manager.bodies.max_bytes
+        for peer in (usual, *stopped):
+            peer.at_front.close()
+        assert not manager.bodies.used_bytes
+
+    on_loop(scenario)
+
+
+def test_a_request_of_several_reads_in_the_socket_is_read_before_a_close() -> None:
+    """Guards against: one read before a close takes the first part of a bid, and its rest is discarded."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        peer = Peer(manager)
+        await peer.complete_request()
+        peer.sock.sendall(BID)
+        peer.at_front.close_gracefully()
+        assert received_job_ids(manager) == ["2" * 16] and not peer.at_front.is_closed
+        peer.at_front.close()
+
+    on_loop(scenario)
+
+
 def test_a_disconnect_after_invalid_data_is_noticed() -> None:
     async def scenario() -> None:
         manager = make_manager()
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -208,7 +208,7 @@
             peer.sock.send(PING)
         await until(lambda: len(manager.connections) == 150, "half of the connections are closed")
         await until(lambda: all(peer.answered(1) for peer in peers[1::2]), "the others are answered")
-        assert manager.descriptors.clients == len(manager.registry) == 150 and not manager.body_bytes
+        assert manager.descriptors.clients == len(manager.registry) == 150 and not manager.bodies.used_bytes
         assert "exception_in_client_actor" not in manager.checks.counts
         for peer in peers[1::2]:
             peer.connection.close()
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -55,7 +55,11 @@
         await until(
             lambda: peer.connection.has_requested and peer.connection.socket_empty_at_ns > 0, "all is read"
         )
-        assert not len(manager.module) and not manager.body_bytes and not peer.connection.has_open_requests
+        assert (
+            not len(manager.module)
+            and not manager.bodies.used_bytes
+            and not peer.connection.has_open_requests
+        )
         peer.connection.close()
 
     on_loop(scenario)
@@ -73,7 +77,7 @@
         waiting = [m.request for m in manager.module.new_work if isinstance(m, RequestArrived)]
         peer.sock.close()
         await until(lambda: peer.connection.is_closed, "the disconnect is noticed")
-        assert not manager.module.new_work and not manager.body_bytes
+        assert not manager.module.new_work and not manager.bodies.used_bytes
         assert all(request.is_cancelled and request.is_finished for request in waiting)
         assert len(manager.module.queue) == 1 and taken.request.is_cancelled  # it is told of the taken one
 
