At the limit no resting connection with a request in it is closed

Cause: a connection counted as idle until it had been read, so at the limit those whose requests waited to be read were closed first; connections whose clients had gone counted too. Change: the registry asks the connection about each candidate, which is read first and stays if it has data that waits; epoll's events are handled before one is chosen; where none can go the new one is turned away. Evidence: the 6 new tests fail on the code before and pass now.

--- a/quincepier/clients/registry.py
+++ b/quincepier/clients/registry.py
@@ -4,15 +4,16 @@
 closed for a new connection, in the network that holds most connections: a new one whose time for a first
 request has passed; the one that has been idle longest; the oldest new one. So a large network makes room for
 itself, and the few connections of a small one stay. Without networks all connections are in one, and only age
-decides.
+decides. The owner has the last word on each, as a request may have arrived that it has not read yet.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass
 from enum import Enum
+from itertools import takewhile
 from typing import Generic, TypeVar
 
 K = TypeVar("K", bound=Hashable)
@@ -58,10 +59,23 @@
         self.idle_since_by_connection: OrderedDict[K, int] = OrderedDict()
 
 
+def _list_until(since_by_connection: OrderedDict[K, int], latest: int) -> list[K]:
+    """Return the connections whose time is `latest` at most; they are in the order of their times."""
+    return [
+        connection for connection, _ in takewhile(lambda item: item[1] <= latest, since_by_connection.items())
+    ]
+
+
 class ConnectionRegistry(Generic[K]):
     """The admitted connections by network. Times are nanoseconds of one clock.
 
-    All changes take constant time, except the search for a connection to close, which looks at one network.
+    All changes take constant time, except the search for a connection to close, which looks at one network
+    and asks `is_evictable` about its connections until one can be closed.
+
+    Args:
+        limits: The limits in force.
+        is_evictable: Returns whether a connection may be closed for a new one. It may find a request that has
+            arrived, and report it by `on_request`. By default all may be closed.
 
     Attributes:
         limits: The limits in force.
@@ -70,8 +84,11 @@
         network_names_by_size: Names of networks by their number of connections.
     """
 
-    def __init__(self, limits: ConnectionLimits) -> None:
+    def __init__(
+        self, limits: ConnectionLimits, is_evictable: Callable[[K], bool] = lambda connection: True
+    ) -> None:
         self.limits = limits
+        self._is_evictable = is_evictable
         self.network_by_name: dict[Hashable, _Network[K]] = {}
         self.network_name_by_connection: dict[K, Hashable] = {}
         self.network_names_by_size: dict[int, OrderedDict[Hashable, None]] = {}
@@ -145,20 +162,27 @@
 
     def find_evictable(self, now: int) -> K | None:
         """Return the connection that would be closed now for a new one, or None if none can be."""
-        for size in sorted(self.network_names_by_size, reverse=True):
-            for name in self.network_names_by_size[size]:
-                if (evictable := self._find_evictable_of(self.network_by_name[name], now)) is not None:
-                    return evictable
+        names = [
+            name
+            for size in sorted(self.network_names_by_size, reverse=True)
+            for name in self.network_names_by_size[size]
+        ]
+        for name in names:
+            network = self.network_by_name.get(name)  # None if its connections were closed by their clients
+            if network is not None and (evictable := self._find_evictable_of(network, now)) is not None:
+                return evictable
         return None
 
     def _find_evictable_of(self, network: _Network[K], now: int) -> K | None:
-        oldest_new = next(iter(network.new_since_by_connection.items()), None)
-        if oldest_new is not None and oldest_new[1] <= now - self.limits.first_request_grace:
-            return oldest_new[0]
-        longest_idle = next(iter(network.idle_since_by_connection.items()), None)
-        if longest_idle is not None and longest_idle[1] <= now - self.limits.min_idle_time:
-            return longest_idle[0]
-        return oldest_new[0] if oldest_new is not None else None
+        return next((c for c in self._list_candidates(network, now) if self._is_evictable(c)), None)
+
+    def _list_candidates(self, network: _Network[K], now: int) -> Iterator[K]:
+        """Return the connections that may be closed, in their order; they may change while it is used."""
+        new_since, idle_since = network.new_since_by_connection, network.idle_since_by_connection
+        latest_overdue = now - self.limits.first_request_grace
+        yield from _list_until(new_since, latest_overdue)
+        yield from _list_until(idle_since, now - self.limits.min_idle_time)
+        yield from [connection for connection, since in new_since.items() if since > latest_overdue]
 
     def _select_evicted(self, now: int) -> list[K]:
         """Return the connections to close; all but the first have been idle for `min_idle_time`."""
@@ -166,10 +190,10 @@
         if first is None:
             return []
         evicted, network = [first], self.network_by_name[self.network_name_by_connection[first]]
-        for connection, since in network.idle_since_by_connection.items():
-            if len(evicted) >= self.limits.max_closed_at_once or since > now - self.limits.min_idle_time:
+        for connection in _list_until(network.idle_since_by_connection, now - self.limits.min_idle_time):
+            if len(evicted) >= self.limits.max_closed_at_once:
                 break
-            if connection != first:
+            if connection != first and self._is_evictable(connection):
                 evicted.append(connection)
         return evicted
 
--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -15,6 +15,8 @@
 
 FIRST_REQUEST_TIMEOUT_S = 2.0  # from accept to the first complete request
 CLOSE_TIMEOUT_S = 1.0  # for the client to take the last response of a connection that is to close
+# Time from the first byte of a request in which its connection is not closed for a new one.
+MIN_PARTIAL_AGE_NS = clock.SECOND // 2
 RECHECK_INTERVAL_S = 0.2  # between checks of a connection that is overdue but still owed a response
 
 
@@ -171,6 +173,28 @@
             if is_empty and not (self.is_closed or self.owes_responses or self.is_flush_scheduled):
                 self.close(linger=True)
 
+    def is_idle_after_reading(self) -> bool:
+        """Read what has arrived; return whether the connection may be closed for a new one.
+
+        It may not be while it owes a response, while bytes wait for a turn to be read, or for a short time
+        after the first bytes of a request. One whose reading is paused has sent requests that can't be used.
+        """
+        if self.is_reading:
+            if self.has_unread_data:
+                return False
+            self.receive()
+        if self.is_closed:  # by its client: it no longer counts
+            return True
+        if self.owes_responses or self.is_flush_scheduled:
+            return False
+        return not self.is_reading or not (self.has_unread_data or self._is_partial_recent())
+
+    def _is_partial_recent(self) -> bool:
+        session = self.session
+        if session is None or session.partial is None:
+            return False
+        return self.manager.active_clock.time - session.partial_since < MIN_PARTIAL_AGE_NS
+
     def reject_queued_requests(self) -> None:
         """Reject the requests that the module has not taken from its mailbox yet; it then ignores them."""
         for request in list(self.session.request_by_stream.values()) if self.session is not None else ():
--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -123,6 +123,11 @@
         session = self.session
         return session is not None and session.partial is not None and session.partial == partial
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether there is data known that waits for a turn to be read."""
+        return self.has_backlog or bool(self.readable_since_ns)
+
     @property
     def partial_since(self) -> int:
         """When the oldest incomplete request was first seen, by the active clock, ns; 0 if there is none."""
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -99,7 +99,9 @@
         self.networks = networks
         limit = self.descriptors.max_clients
         limits = ConnectionLimits(limit) if networks is None else networks.make_limits(limit)
-        self.registry: ConnectionRegistry[ClientConnection] = ConnectionRegistry(limits)
+        self.registry: ConnectionRegistry[ClientConnection] = ConnectionRegistry(
+            limits, ClientConnection.is_idle_after_reading
+        )
         self.bodies = BodyMemory(dependencies.memory_budget.max_body_bytes, self.checks)
         buffers = dependencies.buffer_pool.acquire()
         assert buffers is not None, "the buffer pool has no buffer to read into"
@@ -131,6 +133,8 @@
     def admit(self, sock: socket.socket, host: str = "") -> ClientConnection | None:
         """Admit a new client, if need be by closing others; else close its socket and return None."""
         connection = ClientConnection(self, sock)
+        if len(self.registry) >= self.registry.limits.max_connections:
+            self._on_epoll_ready()  # closes the connections whose clients have gone
         result, evicted = self.registry.admit(connection, *self._registry_arguments(host))
         if result is AdmissionResult.LIMIT_REACHED and (stalled := self._find_longest_stalled()) is not None:
             self.checks.event("slow_client_closed_descriptor_limit")
@@ -143,8 +147,9 @@
             self.lingering.add(sock)
             return None
         for idle in evicted:
-            self.checks.event("idle_client_closed_descriptor_limit")
-            idle.close(linger=True)
+            if not idle.is_closed:
+                self.checks.event("idle_client_closed_descriptor_limit")
+                idle.close(linger=True)
         self.descriptors.add_clients(1)
         self.lingering.close_excess()
         self.connections.add(connection)
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -118,9 +118,10 @@
 
 
 async def close_by_eviction(manager: ConnectionManager, peer: Peer) -> None:
+    others = list[Peer]()  # kept: a client that has gone makes room by itself
     while peer.at_front in manager.connections:
-        other = Peer(manager)
-        manager.registry.on_request(other.at_front)
+        others.append(Peer(manager))
+        manager.registry.on_request(others[-1].at_front)
 
 
 @pytest.mark.parametrize("close", [close_by_drain, close_by_end, close_by_idle_timeout, close_by_eviction])
@@ -481,6 +482,83 @@
     on_loop(scenario)
 
 
+@pytest.mark.parametrize("is_noticed", [False, True])
+@pytest.mark.parametrize("length", [120, 48_000])
+def test_no_resting_connection_with_a_request_in_it_is_closed_for_new_clients(
+    is_noticed: bool, length: int
+) -> None:
+    """Guards against: at the limit the longest idle one is closed though a whole request lies in it."""
+
+    async def scenario() -> None:
+        manager = make_manager(64)
+        manager.reads.may_read_now = lambda connection: False  # type: ignore[method-assign]
+        resting = [Peer(manager, first=PING) for _ in range(manager.registry.limits.max_connections)]
+        for peer in resting:
+            peer.at_front.receive()
+        await until(lambda: not any(p.at_front.owes_responses for p in resting), "all rest")
+        manager.reads.enqueue = lambda connection: None  # type: ignore[method-assign]
+        asking = resting[: len(resting) - 2]
+        for number, peer in enumerate(asking):
+            body = b"y" * (length - 120)
+            peer.send(encode_request(2, params(f"{number:016x}", "bid"), body))
+            if is_noticed:
+                peer.at_front.on_readable()
+        silent = [Peer(manager) for _ in range(40)]
+        assert not any(peer.at_front.is_closed for peer in asking)
+        assert manager.checks.counts["idle_client_closed_descriptor_limit"] == 40
+        for peer in asking:
+            peer.at_front.read_until_empty()
+        assert len(received_job_ids(manager)) == len(asking)
+        more = [Peer(manager) for _ in range(3)]
+        assert all(peer.connection is not None for peer in more), "a new one that says nothing goes for it"
+        for connection in list(manager.connections):
+            connection.close()
+        del silent
+
+    on_loop(scenario)
+
+
+def test_a_connection_whose_client_has_gone_makes_room_and_no_other_is_closed() -> None:
+    """Guards against: those that have gone count until they are read, and others are closed for them."""
+
+    async def scenario() -> None:
+        manager = make_manager(64)
+        resting = [Peer(manager) for _ in range(manager.registry.limits.max_connections - 20)]
+        for peer in resting:
+            await peer.complete_request()
+        gone = [Peer(manager) for _ in range(20)]
+        for peer in gone:
+            peer.send(SECOND_REQUEST)
+            peer.sock.close()
+        new = [Peer(manager) for _ in range(20)]
+        assert all(peer.connection is not None for peer in new) and not received_job_ids(manager)
+        assert not any(peer.at_front.is_closed for peer in resting)
+        assert not manager.checks.counts["idle_client_closed_descriptor_limit"]
+        for connection in list(manager.connections):
+            connection.close()
+
+    on_loop(scenario)
+
+
+def test_a_new_client_is_turned_away_where_all_others_have_sent_a_request() -> None:
+    """Guards against: with no connection to close, one of a client that waits for its answer goes."""
+
+    async def scenario() -> None:
+        manager = make_manager(64)
+        others = [Peer(manager) for _ in range(manager.registry.limits.max_connections)]
+        for number, peer in enumerate(others):
+            peer.send(encode_request(2, params(f"{number:016x}")))
+        refused = Peer(manager)
+        assert refused.connection is None
+        assert not any(peer.at_front.is_closed for peer in others)
+        assert len(received_job_ids(manager)) == len(others)
+        await refused.read_to_end()
+        for peer in others:
+            peer.at_front.close()
+
+    on_loop(scenario)
+
+
 BID = encode_request(2, params("2" * 16, "bid"), b"y" * 48_000)  # longer than three reads
 
 
