Clients that waited in the backlog are read in their turns, or not once gone

Cause: the listener read each client that had waited as it accepted it, up to 256 in a turn, past the read scheduler; turns of 0.5 s were taken for standstills and all caches set aside. Change: such clients are queued for their turn; epoll's events are handled first, so clients that have gone are closed unread; accepts beyond eight end after 10 ms; a connection chosen for a new client is read for 2 ms at most.

--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -176,12 +176,12 @@
     def is_idle_after_reading(self) -> bool:
         """Read what has arrived; return whether the connection may be closed for a new one.
 
-        It may not be while it owes a response, while bytes wait for a turn to be read, or for a short time
+        It may not be while it owes a response, while there is more than is read at once, or for a short time
         after the first bytes of a request. One whose reading is paused has sent requests that can't be used.
         """
+        if self.has_backlog and self.is_reading:
+            return False
         if self.is_reading:
-            if self.has_unread_data:
-                return False
             self.receive()
         if self.is_closed:  # by its client: it no longer counts
             return True
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -31,6 +31,8 @@
 # Longest step of the active clock; more time between two readings is a process pause and not counted.
 MAX_CLOCK_STEP_NS = clock.SECOND // 4
 MAX_TIMERS_PER_SWEEP = 2000  # the rest is handled by the next sweep
+# Time for reading the connections that could be closed for one new one.
+MAX_EVICTION_NS = 2 * clock.MS
 MAX_EPOLL_EVENTS = 512  # readable connections handled in one turn of the event loop
 FLUSH_TIMEOUT_S = 0.1  # at the end of the front, for responses that are being written
 LINGER_TIMEOUT_S = 0.15  # after that, for clients to close their side
@@ -61,6 +63,7 @@
             have been seen stalled, by the active clock, ns.
         networks: Connection limits by client network; None without the section `clients` of the operators'
             file.
+        eviction_until_ns: Until when connections are read to find one that can be closed for a new one.
         registry: Decides on admission and on the connections to close for new ones.
         bodies: Accounts for the bodies of requests and enforces their limit.
         read_buffer: One buffer into which all connections are read; its content is decoded at once.
@@ -97,11 +100,10 @@
         self.busy_connections: set[ClientConnection] = set()
         self.stalled: dict[ClientConnection, tuple[int, int]] = {}
         self.networks = networks
+        self.eviction_until_ns = 0
         limit = self.descriptors.max_clients
         limits = ConnectionLimits(limit) if networks is None else networks.make_limits(limit)
-        self.registry: ConnectionRegistry[ClientConnection] = ConnectionRegistry(
-            limits, ClientConnection.is_idle_after_reading
-        )
+        self.registry: ConnectionRegistry[ClientConnection] = ConnectionRegistry(limits, self._is_evictable)
         self.bodies = BodyMemory(dependencies.memory_budget.max_body_bytes, self.checks)
         buffers = dependencies.buffer_pool.acquire()
         assert buffers is not None, "the buffer pool has no buffer to read into"
@@ -134,7 +136,8 @@
         """Admit a new client, if need be by closing others; else close its socket and return None."""
         connection = ClientConnection(self, sock)
         if len(self.registry) >= self.registry.limits.max_connections:
-            self._on_epoll_ready()  # closes the connections whose clients have gone
+            self.handle_readable()  # closes the connections whose clients have gone
+        self.eviction_until_ns = clock.now() + MAX_EVICTION_NS
         result, evicted = self.registry.admit(connection, *self._registry_arguments(host))
         if result is AdmissionResult.LIMIT_REACHED and (stalled := self._find_longest_stalled()) is not None:
             self.checks.event("slow_client_closed_descriptor_limit")
@@ -161,6 +164,12 @@
             return None
         return connection
 
+    def _is_evictable(self, connection: ClientConnection) -> bool:
+        """Return whether a connection may be closed for a new one; it is read before, if there is time."""
+        if connection.has_unread_data and clock.now() >= self.eviction_until_ns:
+            return False
+        return connection.is_idle_after_reading()
+
     def _registry_arguments(self, host: str) -> tuple[Hashable, int, int]:
         name, cap = self.find_network(host)
         return name, self.active_clock.read(clock.now()), cap
@@ -251,7 +260,7 @@
         """Watch a connection's socket; epoll reports once for all data that is there. Raises OSError."""
         if self.epoll is None:
             self.epoll = select.epoll()
-            asyncio.get_running_loop().add_reader(self.epoll.fileno(), self._on_epoll_ready)
+            asyncio.get_running_loop().add_reader(self.epoll.fileno(), self.handle_readable)
         self.epoll.register(connection.sock, select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET)
         self.connection_by_fd[connection.sock.fileno()] = connection
 
@@ -260,8 +269,11 @@
         if self.epoll is not None and self.connection_by_fd.pop(connection.sock.fileno(), None) is not None:
             self.epoll.unregister(connection.sock)
 
-    def _on_epoll_ready(self) -> None:
-        """Handle up to `MAX_EPOLL_EVENTS` events; the event loop calls again if there are more."""
+    def handle_readable(self) -> None:
+        """Close the connections whose clients have gone; read those that became readable, or queue them.
+
+        Up to `MAX_EPOLL_EVENTS` are handled; the event loop calls again if there are more.
+        """
         if self.epoll is not None:
             for fd, mask in self.epoll.poll(0, MAX_EPOLL_EVENTS):
                 connection = self.connection_by_fd.get(fd)
--- a/quincepier/net/listener.py
+++ b/quincepier/net/listener.py
@@ -14,6 +14,7 @@
 # Clients accepted in one turn once they may have waited for `MAX_WAIT_NS`; their wait counts towards the time
 # of their requests.
 MAX_ACCEPTS_AFTER_WAIT = 256
+MAX_TURN_NS = 10 * clock.MS  # of accepts beyond `MAX_ACCEPTS`
 MIN_WAIT_NS = 20 * clock.MS  # time in the backlog that is counted towards a request's time
 MAX_WAIT_NS = 250 * clock.MS  # time in the backlog up to which `MAX_ACCEPTS` applies
 ACCEPT_RETRY_PAUSE_S = 0.01  # after accept failed, mostly for lack of descriptors
@@ -68,6 +69,7 @@
             asyncio.get_running_loop().remove_reader(self.sock.fileno())
         while (result := self._accept()) is AcceptResult.ACCEPTED:
             pass
+        self.manager.handle_readable()
         if result is AcceptResult.BACKLOG_EMPTY:
             self.sock.close()
         return result is AcceptResult.BACKLOG_EMPTY
@@ -79,9 +81,14 @@
             self.sock.close()
 
     def _on_readable(self) -> None:
-        for _ in range(MAX_ACCEPTS if self._waited_ns() < MAX_WAIT_NS else MAX_ACCEPTS_AFTER_WAIT):
+        max_accepts = MAX_ACCEPTS if self._waited_ns() < MAX_WAIT_NS else MAX_ACCEPTS_AFTER_WAIT
+        until_ns = clock.now() + MAX_TURN_NS
+        for count in range(max_accepts):
+            if count >= MAX_ACCEPTS and clock.now() >= until_ns:
+                break
             if self._accept() is not AcceptResult.ACCEPTED:
                 break
+        self.manager.handle_readable()  # before any is read, those whose clients have gone are closed
 
     def _waited_ns(self) -> int:
         """Return how long a client accepted now may have waited, from the first look at the backlog on."""
@@ -115,6 +122,5 @@
             return AcceptResult.ACCEPTED
         if waited_ns > MIN_WAIT_NS:
             connection.set_earliest_arrival(self.waiting_since_ns)
-        if self.is_stopped or waited_ns > MIN_WAIT_NS:
-            connection.receive()  # the requests it has sent already are read at once
+            self.manager.reads.enqueue(connection)
         return AcceptResult.ACCEPTED
--- a/tests/test_crossings_drain.py
+++ b/tests/test_crossings_drain.py
@@ -10,10 +10,13 @@
 
 import pytest
 
+from quincepier import clock
 from quincepier.net import connection_manager
+from quincepier.net.client_connection import ClientConnection
 from quincepier.net.connection_manager import ConnectionManager
-from quincepier.net.listener import Listener
+from quincepier.net.listener import MAX_ACCEPTS, Listener
 from quincepier.net.messages import RequestArrived
+from quincepier.net.read_scheduler import MAX_ACTIVE_READS
 from quincepier.net.sockets import listen
 from tests.fcgikit import ResponseReader, encode_begin, encode_request, params
 from tests.loopback import allocate_address
@@ -76,6 +79,38 @@
     on_loop(scenario)
 
 
+@pytest.mark.parametrize("has_gone", [True, False])
+def test_clients_that_waited_in_the_backlog_are_read_in_bounded_turns(
+    monkeypatch: pytest.MonkeyPatch, has_gone: bool
+) -> None:
+    """Guards against: a turn reads all requests of 100 clients that waited, and all others stand still."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        listener, address = make_listener(manager)
+        reads, plain = list[ClientConnection](), ClientConnection._on_received
+
+        def on_received(self: ClientConnection, size: int) -> None:
+            reads.append(self)
+            plain(self, size)
+
+        monkeypatch.setattr(ClientConnection, "_on_received", on_received)
+        requests = b"".join(encode_request(n, params(f"{n:016x}")) for n in range(1, 201))
+        waiting = [BacklogClient(address, requests) for _ in range(100)]
+        for client in waiting:
+            if has_gone:
+                client.sock.close()
+        listener.waiting_since_ns = clock.now() - clock.SECOND
+        listener._on_readable()
+        assert len(reads) <= (0 if has_gone else MAX_ACTIVE_READS)
+        assert has_gone or len(manager.connections) > MAX_ACCEPTS
+        for connection in list(manager.connections):
+            connection.close()
+        listener.close()
+
+    on_loop(scenario)
+
+
 def test_accepted_sockets_have_nagle_disabled(monkeypatch: pytest.MonkeyPatch) -> None:
     """TCP_NODELAY is set before admission, so also for a client that is closed at once."""
 
