A change log that refuses connections is asked again within 20 ms

Cause: backoff between polls grew to 0.75 s also where the connect was refused, which costs the log nothing, and the log was back 50 ms before the limit. Change: after a refused connect the next poll is due within 20 ms and does not count towards the backoff; all other failures back off as before. The mutant long_backoff of test_standing_told covers the new wait too. Evidence: the new test fails for outages of 0.5, 3, 8 and 30 s on the code before (0.25 to 0.75 s), and passes now.

--- a/quincepier/net/watch.py
+++ b/quincepier/net/watch.py
@@ -28,10 +28,11 @@
 POLL_TIMEOUT_MS, POLL_GRACE_S = 1000, 0.75
 CONNECT_TIMEOUT_S = 0.5  # until a connect is overdue and another poll starts
 MAX_POLLS = 4  # in parallel; the oldest is closed for a further one
-# Backoff between failed polls: none after the first failure, then doubled at each failure in a row. After an
-# outage of 8 s, an event from its start is 1 s past the time by which a front must have received it; that is
-# within the 2 s grace period of a drain.
+# Backoff between failed polls: none after the first failure, then doubled at each failure in a row.
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.05, 0.75
+# Longest wait after a refused connect, which costs a log that is down nothing. It does not grow, since the
+# time by which the drains of an outage must be known passes during it.
+REFUSED_RETRY_S = 0.02
 # A front starts serving once it has received the events that the log had at its start: after a response, or
 # after QUIET_PERIOD_S without one, as the log responds at once if it has events. If the log can't be
 # reached, the front serves after MAX_START_WAIT_S.
@@ -224,23 +225,36 @@
             if poll.is_unconfirmed_reuse and isinstance(error, ConnectionError):
                 self.checks.count("change_log_connections_closed_idle")
             else:
-                self._on_poll_failed(poll.started_at_s, f"{type(error).__name__}: {error}")
+                self._on_poll_failed(poll.started_at_s, f"{type(error).__name__}: {error}", error)
             return
         if poll.can_reuse_connection and not self.polls and address_changes == self.address_changes:
             self.idle_socket = poll.take_connection()
         else:
             poll.close()
 
-    def _on_poll_failed(self, started_at_s: float, reason: str) -> None:
-        """Count a failed poll: the next one is due at once after the first failure, then with backoff."""
-        self.failures += 1
+    def _on_poll_failed(self, started_at_s: float, reason: str, error: Exception | None = None) -> None:
+        """Count a failed poll: the next one is due at once after the first failure, then with backoff.
+
+        Refused connects don't count towards the backoff, which is for a log that can be reached.
+
+        Args:
+            started_at_s: When the poll was due, by the loop's clock.
+            reason: Why it failed, for the log event.
+            error: The error that ended it; None if it is only overdue.
+        """
         self.checks.event("change_log_poll_failed", reason)
+        now_s = asyncio.get_running_loop().time()
+        if isinstance(error, ConnectionRefusedError):
+            if self.failures:
+                self.next_poll_at_s = now_s + REFUSED_RETRY_S * self.random.uniform(0.5, 1)
+            self.failures = max(self.failures, 1)
+            return
+        self.failures += 1
         if self.failures > 1:
-            loop = asyncio.get_running_loop()
             backoff_s = min(MIN_BACKOFF_S * 2 ** min(self.failures - 2, 10), MAX_BACKOFF_S)
             # counted from the poll's start, since the poll itself may have taken that long
             due_s = started_at_s + backoff_s * self.random.uniform(0.5, 1)
-            self.next_poll_at_s = max(due_s, loop.time() + MIN_BACKOFF_S)
+            self.next_poll_at_s = max(due_s, now_s + MIN_BACKOFF_S)
 
     def _close_idle_socket(self) -> None:
         sock, self.idle_socket = self.idle_socket, None
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -97,6 +97,33 @@
     run_with_watcher(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("outage_s", [0.5, 3.0, 8.0, 30.0])
+def test_a_log_that_is_back_after_an_outage_is_asked_within_the_limit_of_its_drains(
+    monkeypatch: pytest.MonkeyPatch, outage_s: float
+) -> None:
+    """Guards against: backoff grows to 0.75 s, and a drain of the outage is heard after its grace."""
+
+    async def scenario(rig: WatcherRig) -> None:
+        address = rig.log.address
+        (await rig.log.wait_for_poll(1)).respond(2)
+        poll = await rig.log.wait_for_poll(2)
+        rig.log.server.close()
+        poll.writer.transport.abort()
+        await asyncio.sleep(outage_s)
+        rig.log.server = await asyncio.start_server(rig.log._serve, *address)
+        back = loop_time()
+        again = await rig.log.wait_for_poll(3)
+        assert again.received_at_s - back < 0.05 and again.since == 2
+        assert rig.checks.counts["change_log_poll_failed"] < 120 * outage_s
+        rig.log.on_poll = lambda poll: poll.writer.transport.abort()
+        again.writer.transport.abort()
+        before = len(rig.log.polls)
+        await asyncio.sleep(4)
+        assert len(rig.log.polls) - before <= 11, "one that is reached and fails is asked with backoff"
+
+    run_with_watcher(monkeypatch, scenario)
+
+
 def test_two_address_changes_in_a_row_end_at_the_second_address(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario(rig: WatcherRig) -> None:
         first, second = await ScriptedChangeLog().start(), await ScriptedChangeLog().start()
--- a/tests/test_standing_told.py
+++ b/tests/test_standing_told.py
@@ -256,6 +256,7 @@
 def long_backoff(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(watch, "MIN_BACKOFF_S", 30.0)
     patch.setattr(watch, "MAX_BACKOFF_S", 30.0)
+    patch.setattr(watch, "REFUSED_RETRY_S", 30.0)
 
 
 def ignores_address_change(patch: pytest.MonkeyPatch) -> None:
