A machine that starts at an address of an earlier one takes it, with several too

Where the section addresses is set, a new cache at the address of one that died and is still listed got the work of both ids. Cause: the check compared the single address of a record, None there. Change: of two machines that state their starts, the later one has the address; the earlier keeps its further ones, or is gone; without starts both stay, as an earlier test has it. Evidence: two of three forms of the new test fail on the code before.

--- a/quincepier/memory/machine_directory.py
+++ b/quincepier/memory/machine_directory.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from quincepier.clock import MS
@@ -30,6 +30,21 @@
     machine: Endpoint
 
 
+def _latest_start_by_address(records: Iterable[HostRecord]) -> dict[str, int]:
+    """Return the latest stated start of a machine at each address, Unix milliseconds."""
+    latest = dict[str, int]()
+    for record in records:
+        for address in record.addresses:
+            latest[address] = max(latest.get(address, 0), record.started_at_ms)
+    return latest
+
+
+def _addresses_left(record: HostRecord, latest_start: Mapping[str, int]) -> tuple[str, ...]:
+    """Return the addresses at which no machine has started since this one; all if its start is not stated."""
+    since = record.started_at_ms
+    return tuple(a for a in record.addresses if not since or latest_start.get(a, 0) <= since)
+
+
 class MachineDirectory:
     """All listed machines, and the numbers of unlisted ones that are still in use.
 
@@ -138,15 +153,26 @@
         return EndpointUpdate(scope, tuple(entry.machine for entry in changed.values()))
 
     def _replaced_entries(self, changed: dict[str, MachineEntry]) -> dict[str, MachineEntry]:
-        """Return entries, with state GONE, of listed machines whose address a new machine has taken."""
+        """Return entries of listed machines of which a new machine has taken an address.
+
+        Their state is GONE, unless they have further addresses: these stay. Where machines have several
+        addresses, two of them may share one; a machine that started later than another has taken it.
+        """
         new = [entry for host, entry in changed.items() if host not in self.entry_by_host]
         freed = {e.record.address for e in changed.values() if e.machine.state is EndpointState.GONE}
-        occupied = {e.record.address for e in new if e.machine.state is EndpointState.READY} - freed - {None}
-        return {
-            host: MachineEntry(entry.record, replace(entry.machine, state=EndpointState.GONE))
-            for host, entry in self.entry_by_host.items()
-            if entry.record.address in occupied and host not in changed
-        }
+        ready = [e.record for e in new if e.machine.state is EndpointState.READY]
+        occupied = {record.address for record in ready} - freed - {None}
+        latest_start = _latest_start_by_address(ready)
+        replaced = dict[str, MachineEntry]()
+        for host, entry in self.entry_by_host.items():
+            if host in changed:
+                continue
+            left = _addresses_left(entry.record, latest_start)
+            if entry.record.address in occupied or (entry.record.addresses and not left):
+                replaced[host] = MachineEntry(entry.record, replace(entry.machine, state=EndpointState.GONE))
+            elif left != entry.record.addresses:
+                replaced[host] = MachineEntry(replace(entry.record, addresses=left), entry.machine)
+        return replaced
 
     def replace_numbers(self, text: str) -> str:
         """Return a log line of the router with host ids in place of machine numbers."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -111,6 +111,26 @@
     assert directory.find_entry(directory.assign_number("s-1")) is None
 
 
+@pytest.mark.parametrize(
+    ("old", "left"),
+    [(("127.0.0.9:5050",), ()), (("[::1]:7", "127.0.0.9:5050"), ("[::1]:7",)), (("[::1]:7",), ("[::1]:7",))],
+)
+def test_a_new_machine_takes_an_address_from_the_old_one_where_machines_have_several(
+    old: tuple[str, ...], left: tuple[str, ...]
+) -> None:
+    """Guards against: the process that came up at the address of a dead one gets the work of both."""
+    directory = MachineDirectory(("west", "east"), ("std", "parent"))
+    before = host_record("s-1", address=None, addresses=old, started_at_ms=1_000)
+    directory.apply(FleetChange(1, True, (before,)))
+    new_addresses = ("unix:/run/s-3", "127.0.0.9:5050")
+    new = host_record("s-3", address=None, addresses=new_addresses, started_at_ms=2_000)
+    update = directory.apply(FleetChange(2, False, (new,)))
+    listed = {record.host: record.addresses for _, record in directory.listed_hosts()}
+    assert listed == {"s-3": new.addresses} | ({"s-1": left} if left else {})
+    gone = [m.number for m in update.endpoints if m.state is EndpointState.GONE]
+    assert gone == ([] if left else [directory.number_by_host["s-1"]])
+
+
 def test_a_full_list_replaces_all_machines_and_a_change_adds() -> None:
     directory = new_directory()
     update = directory.apply(
