A close behind much unread data is seen before an attempt begins

Cause: before an attempt the client's socket is read 16 KiB; the close lay behind more. Change: it is read until it is empty, in bounds. Evidence: the new test fails on the code before.

--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -88,7 +88,7 @@
         if self.is_closed or now_ns - self.socket_empty_at_ns < CLIENT_CHECK_INTERVAL_NS:
             return True
         self.is_reading = True
-        self.receive()
+        self.read_until_empty()
         is_slowed = bool(self.bad_request_count) or self.is_read_closed
         unread_since = self.earliest_arrival_ns  # 0: the socket is empty
         return not (is_slowed and 0 < unread_since <= clock.now() - CLIENT_CHECK_INTERVAL_NS)
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -637,6 +637,26 @@
     on_loop(scenario)
 
 
+def test_a_close_behind_many_reads_is_noticed_before_an_attempt_begins() -> None:
+    """Guards against: a client closes with much unread, and what was read of it is sent on 0.2 s later."""
+
+    async def scenario() -> None:
+        manager = make_manager()
+        manager.reads.may_read_now = lambda connection: False  # type: ignore[method-assign]
+        manager.reads.enqueue = lambda connection: None  # type: ignore[method-assign]
+        peer = Peer(manager)
+        bids = (encode_request(n, params(f"{n:016x}", "bid"), b"x" * 5_000) for n in range(1, 11))
+        peer.send(b"".join(bids))
+        peer.sock.close()
+        peer.at_front.receive()
+        read = [message.request for message in manager.module.new_work]  # type: ignore[union-attr]
+        assert len(read) in range(1, 4) and not peer.at_front.is_closed
+        peer.at_front.check_client(clock.now())
+        assert peer.at_front.is_closed and all(request.is_cancelled for request in read)
+
+    on_loop(scenario)
+
+
 def test_a_disconnect_after_invalid_data_is_noticed() -> None:
     async def scenario() -> None:
         manager = make_manager()
