A connection found closed at the limit makes room, and the new one is admitted

Change: the search ends there, as there is room. Evidence: the new test raises KeyError in both forms on the code before.

--- a/quincepier/clients/registry.py
+++ b/quincepier/clients/registry.py
@@ -74,8 +74,8 @@
 
     Args:
         limits: The limits in force.
-        is_evictable: Returns whether a connection may be closed for a new one. It may find a request that has
-            arrived, and report it by `on_request`. By default all may be closed.
+        is_evictable: Returns whether a connection may be closed for a new one, or is closed by now. It may
+            find a request or a close that has arrived, and report it. By default all may be closed.
 
     Attributes:
         limits: The limits in force.
@@ -189,7 +189,9 @@
         first = self.find_evictable(now)
         if first is None:
             return []
-        evicted, network = [first], self.network_by_name[self.network_name_by_connection[first]]
+        evicted, network = [first], self._network_of(first)
+        if network is None:  # its client has closed it: there is room
+            return evicted
         for connection in _list_until(network.idle_since_by_connection, now - self.limits.min_idle_time):
             if len(evicted) >= self.limits.max_closed_at_once:
                 break
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -45,6 +45,24 @@
     assert registry.admit("f", "", late) == (AdmissionResult.LIMIT_REACHED, [])  # all are busy
 
 
+@pytest.mark.parametrize("max_closed_at_once", [1, 3])
+def test_a_connection_found_closed_makes_room_and_no_further_one_is_closed(max_closed_at_once: int) -> None:
+    """Guards against: the one to close was closed by its client by now, and the new one is not admitted."""
+    limits = ConnectionLimits(4, max_closed_at_once=max_closed_at_once)
+
+    def is_evictable(name: str) -> bool:
+        registry.remove(name)
+        return True
+
+    registry = ConnectionRegistry[str](limits, is_evictable)
+    for name in "abcd":
+        registry.admit(name, "", 0)
+        registry.on_request(name)
+        registry.on_idle(name, 1)
+    assert registry.admit("new", "", 2) == (AdmissionResult.ADMITTED, ["a"])
+    assert len(registry) == 4
+
+
 def test_one_large_network_makes_room_for_itself_and_for_small_ones() -> None:
     registry = make_full_registry(ConnectionLimits(100), ("small", 4), ("large", 96))
     now = 10_000 * MS
