A bid whose id comes again after its client has left is refused, not run twice

Callers saw a bid run twice when its client closed, came back and sent it under the same id. Cause: an id was known only while a request or an attempt of it was open, and the cancelled attempt ended both. Change: DuplicateRequestDetector remembers the ids of sent attempts whose outcome does not prove that they never ran, in classes that must not run twice, bounded by the memory limit; such an id is answered with 409, as that of an open request was before.

--- a/quincepier/memory/memory_budget.py
+++ b/quincepier/memory/memory_budget.py
@@ -17,9 +17,12 @@
 BODY_FRACTION = 0.12
 REQUEST_FRACTION = 0.2
 REQUEST_BYTES = 6 * 1024  # one open request with its attempts, timers and commands, without its body
+EXECUTED_ID_FRACTION = 0.02
+EXECUTED_ID_BYTES = 200  # one remembered id of a request that may have run
 MIN_BUFFERS = 64
 MIN_BODY_BYTES = 256 * 1024
 MIN_OPEN_REQUESTS = 64
+MIN_EXECUTED_IDS = 256
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,11 +33,13 @@
         max_buffers: Buffers of `BUFFER_SIZE`, over all connections and objects.
         max_body_bytes: Bytes of all request bodies together.
         max_open_requests: Requests that may be open at a time.
+        max_executed_ids: Ids remembered of requests that are over and may have run.
     """
 
     max_buffers: int
     max_body_bytes: int
     max_open_requests: int
+    max_executed_ids: int = MIN_EXECUTED_IDS
 
 
 def resident_bytes() -> int:
@@ -61,4 +66,5 @@
         max_buffers=max(int(divided * BUFFER_FRACTION / BUFFER_SIZE), MIN_BUFFERS),
         max_body_bytes=max(int(divided * BODY_FRACTION), MIN_BODY_BYTES),
         max_open_requests=max(open_requests, MIN_OPEN_REQUESTS),
+        max_executed_ids=max(int(divided * EXECUTED_ID_FRACTION / EXECUTED_ID_BYTES), MIN_EXECUTED_IDS),
     )
--- a/quincepier/memory/open_requests.py
+++ b/quincepier/memory/open_requests.py
@@ -227,6 +227,14 @@
         request.attempts.append(attempt)
         return attempt
 
+    def find_open_attempt(self, number: int, attempt_number: int) -> OpenAttempt | None:
+        """Return an attempt by its request's number and its own; None if it is unknown or completed."""
+        request = self.request_by_number.get(number)
+        if request is None or attempt_number >= len(request.attempts):
+            return None
+        attempt = request.attempts[attempt_number]
+        return None if attempt.is_completed else attempt
+
     def finish(self, request: OpenRequest) -> None:
         """Note that a request has its final response or needs none."""
         if not request.is_finished:
--- a/quincepier/net/module.py
+++ b/quincepier/net/module.py
@@ -27,6 +27,7 @@
 from quincepier.net.cache_connection_context import CacheConnectionContext
 from quincepier.net.cache_fleet import CacheFleet
 from quincepier.net.change_log_applier import ChangeLogApplier
+from quincepier.net.duplicate_requests import DuplicateRequestDetector
 from quincepier.net.event_dates import EventDates
 from quincepier.net.first_byte_checks import check_first_byte
 from quincepier.net.messages import (
@@ -78,6 +79,7 @@
         directory: The listed machines and their numbers.
         fleet: Creates and ends the actors of listed machines.
         requests: The open requests.
+        duplicates: Detects requests that come again under the id of an earlier one.
         caches: Actors by machine number.
         timers: The router's timers.
         change_log: Applies events of the change log.
@@ -105,6 +107,7 @@
         self.directory = MachineDirectory(config.zones, config.kinds, self.dates.convert_start_time)
         self.fleet = CacheFleet(self.context, self.directory, self._count_requesting_fronts)
         self.requests = OpenRequestTable(budget.max_open_requests)
+        self.duplicates = DuplicateRequestDetector(self.dependencies, self.requests)
         self.caches: dict[int, CacheActor] = self.context.actor_by_number
         self.timers = RouterTimers(self.requests, self.mailbox.wake)
         self.pending_events: deque[io.Event] = deque()
@@ -225,15 +228,11 @@
             return
         if self.requests.is_full:
             self.checks.event("request_rejected_open_limit")
-            request.is_finished = True
-            request.receiver.push(
-                Response(request, 503, retry_after_ms=self.dependencies.config.retry_after_ms)
-            )
+            self._decline(Response(request, 503, retry_after_ms=self.config.retry_after_ms))
             return
-        if request.job_id in self.requests.job_ids:
-            self.checks.event("bad_request", "HTTP_X_JOB_ID is that of an open request")
-            request.is_finished = True
-            request.receiver.push(Response(request, 409))
+        if (conflict := self.duplicates.find_conflict(request)) is not None:
+            self.checks.event("bad_request", conflict)
+            self._decline(Response(request, 409))
             return
         request.allows_concurrent_attempts = self._allows_concurrent_attempts(request.class_index)
         self.requests.add(request)
@@ -242,6 +241,11 @@
             self.overrides.on_request(event, request)
         self._dispatch(event, request)
 
+    def _decline(self, response: Response) -> None:
+        """Respond to a request that the table of open requests does not take."""
+        response.request.is_finished = True
+        response.request.receiver.push(response)
+
     def _allows_concurrent_attempts(self, class_index: int) -> bool:
         """Whether two attempts of a request of this class may run at the same time."""
         settings = self.config.settings
@@ -261,6 +265,7 @@
         self.checks.count(f"attempts_ended_{finished.outcome.name.lower()}")
         if request.is_cancelled:  # its ClientDisconnected may still be queued
             self._on_client_disconnected(request)
+        self.duplicates.on_attempt_finished(attempt, finished.outcome)
         event = make_attempt_completed(attempt, finished)
         if self.overrides is not None:
             self.overrides.on_attempt_completed(attempt, finished.cache_status)
@@ -301,15 +306,9 @@
             case io.ForwardRequest() | io.FetchThrough():
                 self._start_attempt(action, now)
             case io.CancelAttempt(number, attempt_number):
-                request = self.requests.request_by_number.get(number)
-                if (
-                    request is not None
-                    and attempt_number < len(request.attempts)
-                    and not request.attempts[attempt_number].is_completed
-                ):
-                    attempt = request.attempts[attempt_number]
-                    if (cache := self.caches.get(attempt.cache)) is not None:
-                        cache.mailbox.push(CancelCommand(attempt))
+                attempt = self.requests.find_open_attempt(number, attempt_number)
+                if attempt is not None and (cache := self.caches.get(attempt.cache)) is not None:
+                    cache.mailbox.push(CancelCommand(attempt))
             case io.RejectRequest(number, retry_after):
                 if (request := self._find_unanswered(number)) is not None:
                     self._respond(Response(request, 503, retry_after_ms=retry_after // clock.MS or None))
--- a/quincepier/policy/__init__.py
+++ b/quincepier/policy/__init__.py
@@ -4,6 +4,6 @@
 the same actions. `router.py` is the entry point.
 """
 
-from quincepier.policy.router import Router
+from quincepier.policy.router import NEVER_RAN, Router
 
-__all__ = ["Router"]
+__all__ = ["NEVER_RAN", "Router"]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -304,3 +304,18 @@
         assert len(held) == 1
 
     play(tmp_path, fleet(origin=held.append), scenario)
+
+
+def test_a_bid_whose_id_comes_again_after_its_answer_runs_once(tmp_path: Path) -> None:
+    """Guards against: a client that did not get the answer sends the bid again, and it runs a second time."""
+
+    async def scenario(front: Front) -> None:
+        for _ in range(2):
+            client = await front.connect_client()
+            client.send_request(1, "bid", b"x" * 2000, HTTP_X_JOB_ID="00000000000000b2")
+            statuses.append((await client.wait_for_response(1)).status)
+            await client.close()
+        assert statuses == [200, 409] and len(front.caches["o-1"].commands) == 1
+
+    statuses = list[int]()
+    play(tmp_path, fleet(), scenario)
