A front that is signalled as it ends keeps its exit status in the tests

Cause of the exit code 255 in the test of SIGHUP in the drain: `Process.send_signal` of asyncio polls the process first; where it has just ended, that takes the status from asyncio's child watcher, which then reports 255.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -238,6 +239,16 @@
         self.writer.close()
 
 
+def send_signal(process: asyncio.subprocess.Process, number: int) -> None:
+    """Send a signal to a process that may be about to end.
+
+    `Process.send_signal` looks for the exit status first, and takes it from asyncio's child watcher, which
+    then reports 255.
+    """
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, number)
+
+
 @dataclass
 class Front:
     """A front run as a process between stand-in caches, parents and origins and a stand-in change log.
@@ -330,7 +341,7 @@
 
     def send_signal(self, number: int) -> None:
         assert self.process is not None
-        self.process.send_signal(number)
+        send_signal(self.process, number)
 
     async def wait_for_exit(self) -> int:
         """Wait until the process has ended and its stderr is read; return the exit code."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,7 +13,7 @@
 from quincepier.memory.memory_budget import MB, divide_memory
 from tests.fcgikit import PARAMS, STDIN, encode_begin, encode_pairs, encode_record, encode_request, params
 from tests.frontkit import host
-from tests.standins import Behaviour, Cache, ChangeLog, Front, ReceivedCommand, play, until
+from tests.standins import Behaviour, Cache, ChangeLog, Front, ReceivedCommand, play, send_signal, until
 
 
 def respond_ok(command: ReceivedCommand) -> None:
@@ -136,6 +136,22 @@
     play(tmp_path, fleet(), scenario)
 
 
+def test_a_process_that_is_signalled_as_it_ends_keeps_its_exit_status() -> None:
+    """Guards against: a test takes the exit status from the child watcher, which then reports 255."""
+
+    async def end_under_signals() -> int:
+        process = await asyncio.create_subprocess_exec("sleep", "0.05")
+        while process.returncode is None:
+            send_signal(process, signal.SIGCONT)
+            await asyncio.sleep(0)
+        return process.returncode
+
+    async def scenario() -> list[int]:
+        return await asyncio.gather(*(end_under_signals() for _ in range(20)))
+
+    assert asyncio.run(scenario()) == [0] * 20
+
+
 def test_a_stopped_change_log_with_open_connections_is_polled_again(tmp_path: Path) -> None:
     async def scenario(front: Front) -> None:
         assert front.change_log.server is not None
