At the limit, clients that begin requests and stop keep no new client out

Cause: a connection is spared for half a second after the first byte of a request, so connections that had begun one were never closed for new ones, which were turned away unread. Change: when no overdue or idle connection can be closed, age alone decides, with begun requests or without; an idle connection whose time is renewed moves to the end of the order, as it hid those behind it. Evidence: the three new tests fail on the code before.

--- a/quincepier/clients/registry.py
+++ b/quincepier/clients/registry.py
@@ -2,15 +2,17 @@
 
 A connection is new (no request yet), busy (owed a response) or idle. At the limit, the first of these is
 closed for a new connection, in the network that holds most connections: a new one whose time for a first
-request has passed; the one that has been idle longest; the oldest new one. So a large network makes room for
-itself, and the few connections of a small one stay. Without networks all connections are in one, and only age
-decides. The owner has the last word on each, as a request may have arrived that it has not read yet.
+request has passed; the one that has been idle longest; the one that has been new or idle longest, even if it
+has just begun a request, which is spared before. So clients that begin requests without end do not keep all
+others out, a large network makes room for itself, and the few connections of a small one stay. Without
+networks all connections are in one. The owner has the last word on each, as a request may have arrived that
+it has not read yet.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Hashable, Iterator
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from enum import Enum
 from itertools import takewhile
@@ -74,8 +76,9 @@
 
     Args:
         limits: The limits in force.
-        is_evictable: Returns whether a connection may be closed for a new one, or is closed by now. It may
-            find a request or a close that has arrived, and report it. By default all may be closed.
+        is_evictable: Returns whether a connection may be closed for a new one, or is closed by now; its
+            second argument tells whether one in the midst of a request is spared. It may find a request or a
+            close that has arrived, and report it. By default all may be closed.
 
     Attributes:
         limits: The limits in force.
@@ -85,7 +88,9 @@
     """
 
     def __init__(
-        self, limits: ConnectionLimits, is_evictable: Callable[[K], bool] = lambda connection: True
+        self,
+        limits: ConnectionLimits,
+        is_evictable: Callable[[K, bool], bool] = lambda connection, spares_partial: True,
     ) -> None:
         self.limits = limits
         self._is_evictable = is_evictable
@@ -144,6 +149,7 @@
             network := self._network_of(connection)
         ) is not None and connection not in network.new_since_by_connection:
             network.idle_since_by_connection[connection] = now
+            network.idle_since_by_connection.move_to_end(connection)
 
     def remove(self, connection: K) -> None:
         """Remove a closed connection; one that is not in the registry is ignored."""
@@ -174,15 +180,17 @@
         return None
 
     def _find_evictable_of(self, network: _Network[K], now: int) -> K | None:
-        return next((c for c in self._list_candidates(network, now) if self._is_evictable(c)), None)
-
-    def _list_candidates(self, network: _Network[K], now: int) -> Iterator[K]:
-        """Return the connections that may be closed, in their order; they may change while it is used."""
-        new_since, idle_since = network.new_since_by_connection, network.idle_since_by_connection
+        """Return the first connection of a network that can be closed; they may change during the search."""
         latest_overdue = now - self.limits.first_request_grace
-        yield from _list_until(new_since, latest_overdue)
-        yield from _list_until(idle_since, now - self.limits.min_idle_time)
-        yield from [connection for connection, since in new_since.items() if since > latest_overdue]
+        overdue = _list_until(network.new_since_by_connection, latest_overdue)
+        idle = _list_until(network.idle_since_by_connection, now - self.limits.min_idle_time)
+        for connection in overdue + idle:
+            if self._is_evictable(connection, True):
+                return connection
+        since_by_connection = {c: network.idle_since_by_connection.get(c, now) for c in idle}
+        since_by_connection |= network.new_since_by_connection
+        oldest_first = sorted(since_by_connection, key=lambda connection: since_by_connection[connection])
+        return next((c for c in oldest_first if self._is_evictable(c, False)), None)
 
     def _select_evicted(self, now: int) -> list[K]:
         """Return the connections to close; all but the first have been idle for `min_idle_time`."""
@@ -195,7 +203,7 @@
         for connection in _list_until(network.idle_since_by_connection, now - self.limits.min_idle_time):
             if len(evicted) >= self.limits.max_closed_at_once:
                 break
-            if connection != first and self._is_evictable(connection):
+            if connection != first and self._is_evictable(connection, True):
                 evicted.append(connection)
         return evicted
 
--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -173,11 +173,12 @@
             if is_empty and not (self.is_closed or self.owes_responses or self.is_flush_scheduled):
                 self.close(linger=True)
 
-    def is_idle_after_reading(self) -> bool:
+    def is_idle_after_reading(self, spares_partial: bool = True) -> bool:
         """Read what has arrived; return whether the connection may be closed for a new one.
 
-        It may not be while it owes a response, while there is more than is read at once, or for a short time
-        after the first bytes of a request. One whose reading is paused has sent requests that can't be used.
+        It may not be while it owes a response, while there is more than is read at once, or, with
+        `spares_partial`, for a short time after the first bytes of a request. One whose reading is paused has
+        sent requests that can't be used.
         """
         if self.has_backlog and self.is_reading:
             return False
@@ -187,7 +188,8 @@
             return True
         if self.owes_responses or self.is_flush_scheduled:
             return False
-        return not self.is_reading or not (self.has_unread_data or self._is_partial_recent())
+        is_spared = spares_partial and self._is_partial_recent()
+        return not self.is_reading or not (self.has_unread_data or is_spared)
 
     def _is_partial_recent(self) -> bool:
         session = self.session
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -164,11 +164,14 @@
             return None
         return connection
 
-    def _is_evictable(self, connection: ClientConnection) -> bool:
-        """Return whether a connection may be closed for a new one; it is read before, if there is time."""
+    def _is_evictable(self, connection: ClientConnection, spares_partial: bool) -> bool:
+        """Return whether a connection may be closed for a new one; it is read before, if there is time.
+
+        With `spares_partial` one that has just begun a request may not.
+        """
         if connection.has_unread_data and clock.now() >= self.eviction_until_ns:
             return False
-        return connection.is_idle_after_reading()
+        return connection.is_idle_after_reading(spares_partial)
 
     def _registry_arguments(self, host: str) -> tuple[Hashable, int, int]:
         name, cap = self.find_network(host)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -195,7 +195,7 @@
 def closes_who_has_asked_for_who_comes() -> None:
     """With all descriptors taken a client with open requests goes for a new one."""
     ConnectionRegistry.on_request = lambda self, connection: None  # type: ignore[method-assign]
-    ConnectionManager._is_evictable = lambda self, connection: True  # type: ignore[method-assign]
+    ConnectionManager._is_evictable = lambda self, connection, spares_partial: True  # type: ignore[method-assign]
 
 
 FAULTS: dict[str, Callable[[], None]] = {
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -50,7 +50,7 @@
     """Guards against: the one to close was closed by its client by now, and the new one is not admitted."""
     limits = ConnectionLimits(4, max_closed_at_once=max_closed_at_once)
 
-    def is_evictable(name: str) -> bool:
+    def is_evictable(name: str, spares_partial: bool) -> bool:
         registry.remove(name)
         return True
 
@@ -63,6 +63,17 @@
     assert len(registry) == 4
 
 
+def test_an_idle_connection_that_reads_on_hides_no_other_from_the_search() -> None:
+    """Guards against: the time of one is renewed in its place, and those behind it are not looked at."""
+    registry = ConnectionRegistry[str](ConnectionLimits(3, min_idle_time=100))
+    for name in "abc":
+        registry.admit(name, "", 0)
+        registry.on_request(name)
+        registry.on_idle(name, 1)
+    registry.on_idle("a", 500)
+    assert registry.admit("new", "", 520) == (AdmissionResult.ADMITTED, ["b"])
+
+
 def test_one_large_network_makes_room_for_itself_and_for_small_ones() -> None:
     registry = make_full_registry(ConnectionLimits(100), ("small", 4), ("large", 96))
     now = 10_000 * MS
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -518,6 +518,34 @@
     on_loop(scenario)
 
 
+@pytest.mark.parametrize("has_asked", [False, True])
+def test_clients_that_begin_requests_and_stop_keep_no_new_client_out(has_asked: bool) -> None:
+    """Guards against: at the limit all have begun a request, and who comes with a whole one is closed."""
+
+    async def scenario() -> None:
+        manager = make_manager(64)
+        begun = [Peer(manager) for _ in range(manager.registry.limits.max_connections)]
+        if has_asked:
+            for peer in begun:
+                await peer.complete_request()
+        for peer in begun:
+            peer.send(encode_request(2, params("5" * 16, "bid"), b"y" * 2000)[:-1000])
+            peer.at_front.receive()
+        asking = [Peer(manager, encode_request(2, params(f"{n:016x}"))) for n in range(5)]
+        late = Peer(manager)  # its request is still on its way
+        assert all(peer.connection is not None for peer in asking) and late.connection is not None
+        assert [peer.at_front.is_closed for peer in begun] == [n < 6 for n in range(len(begun))]
+        for peer in asking:
+            peer.at_front.receive()
+        more = Peer(manager)
+        assert more.connection is not None and begun[6].at_front.is_closed
+        assert not late.at_front.is_closed and len(received_job_ids(manager)) == len(asking)
+        for connection in list(manager.connections):
+            connection.close()
+
+    on_loop(scenario)
+
+
 def test_a_connection_whose_client_has_gone_makes_room_and_no_other_is_closed() -> None:
     """Guards against: those that have gone count until they are read, and others are closed for them."""
 
