At the limit a new client is refused with an answer, or waits, and is not closed unread

Change: eight connections beyond the limit, in the descriptors that lingering sockets may use, are read and their requests refused with 503; while those are in use nothing is accepted, and clients wait in the backlog.

--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -17,6 +17,7 @@
 CLOSE_TIMEOUT_S = 1.0  # for the client to take the last response of a connection that is to close
 # Time from the first byte of a request in which its connection is not closed for a new one.
 MIN_PARTIAL_AGE_NS = clock.SECOND // 2
+OVER_LIMIT_TIMEOUT_S = 0.1  # from accept to a complete request, for a connection beyond the limit
 RECHECK_INTERVAL_S = 0.2  # between checks of a connection that is overdue but still owed a response
 
 
@@ -34,10 +35,14 @@
         """Begin to read; raises OSError if the socket can't be watched."""
         self.is_reading = True
         self.manager.watch(self)
-        self._schedule_check(FIRST_REQUEST_TIMEOUT_S)
+        self._schedule_check(self._first_request_timeout_s)
 
     # Deadlines
 
+    @property
+    def _first_request_timeout_s(self) -> float:
+        return OVER_LIMIT_TIMEOUT_S if self.is_over_limit else FIRST_REQUEST_TIMEOUT_S
+
     def _schedule_check(self, seconds: float, resume: bool = False) -> None:
         """Check the deadlines after `seconds`, unless an earlier check is scheduled.
 
@@ -88,7 +93,7 @@
             return None, max(left / clock.SECOND, RECHECK_INTERVAL_S)
         recheck_s = 0.0
         if not self.has_requested:
-            left = self.accepted_at + int(FIRST_REQUEST_TIMEOUT_S * clock.SECOND) - now
+            left = self.accepted_at + int(self._first_request_timeout_s * clock.SECOND) - now
             if left <= 0:
                 return "no_request", 0.0
             recheck_s = left / clock.SECOND
@@ -136,6 +141,7 @@
         manager.bodies.set_partial(self, 0)
         manager.registry.remove(self)
         manager.busy_connections.discard(self)
+        manager.over_limit.discard(self)
         if session is not None:
             self.session = None
             for response in session.inbox:
--- a/quincepier/net/client_read_side.py
+++ b/quincepier/net/client_read_side.py
@@ -258,7 +258,7 @@
             manager.checks.event("bad_request", str(error))
             self._queue_response(session, call.id, cgi_head(error.status))
             return
-        if manager.is_rejecting:
+        if manager.is_rejecting or self.is_over_limit:
             self._queue_response(
                 session, call.id, cgi_head(503, retry_after_ms=manager.draw_retry_after_ms())
             )
--- a/quincepier/net/client_write_side.py
+++ b/quincepier/net/client_write_side.py
@@ -36,6 +36,8 @@
         sock: The connected socket, non-blocking.
         session: State of a connection that is not idle; None for an idle one.
         is_closed: The connection was closed.
+        is_over_limit: It was accepted beyond the limit on connections: its requests are rejected, and it is
+            closed soon.
         closes_when_sent: The connection closes once all owed responses are written.
         is_last_response_queued: A short response without KEEP_CONN is queued: the connection closes after it.
         has_requested: The client has sent a complete request.
@@ -67,6 +69,7 @@
         "is_closed",
         "is_flush_scheduled",
         "is_last_response_queued",
+        "is_over_limit",
         "is_read_closed",
         "is_reading",
         "last_activity_ns",
@@ -86,7 +89,7 @@
         self.is_closed = self.closes_when_sent = self.is_last_response_queued = self.has_requested = (
             self.is_reading
         ) = self.is_flush_scheduled = False
-        self.is_read_closed = self.has_backlog = False
+        self.is_read_closed = self.has_backlog = self.is_over_limit = False
         self.write_task: asyncio.Task[None] | None = None
         self.last_activity_ns = self.last_sent_ns = clock.now()
         self.accepted_at = manager.active_clock.time
@@ -202,7 +205,7 @@
         else:
             self._schedule_flush()  # other connections are served in between
         self._update_state()
-        if self.manager.is_draining:
+        if self.manager.is_draining or self.is_over_limit:
             self.close_gracefully()
 
     async def _write_remaining(self, data: bytes) -> None:
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -18,7 +18,7 @@
 from quincepier.net.actor_dependencies import ActorDependencies
 from quincepier.net.body_memory import BodyMemory
 from quincepier.net.client_connection import ClientConnection
-from quincepier.net.lingering_sockets import POLL_INTERVAL_S, LingeringSockets
+from quincepier.net.lingering_sockets import POLL_INTERVAL_S, SPARE_DESCRIPTORS, LingeringSockets
 from quincepier.net.read_scheduler import ReadScheduler
 from quincepier.net.sockets import is_writable
 from quincepier.timers import ActiveClock, TimerWheel
@@ -33,6 +33,8 @@
 MAX_TIMERS_PER_SWEEP = 2000  # the rest is handled by the next sweep
 # Time for reading the connections that could be closed for one new one.
 MAX_EVICTION_NS = 2 * clock.MS
+# Connections beyond the limit, whose requests are rejected; they use the descriptors of lingering sockets.
+MAX_OVER_LIMIT = SPARE_DESCRIPTORS
 MAX_EPOLL_EVENTS = 512  # readable connections handled in one turn of the event loop
 FLUSH_TIMEOUT_S = 0.1  # at the end of the front, for responses that are being written
 LINGER_TIMEOUT_S = 0.15  # after that, for clients to close their side
@@ -63,6 +65,7 @@
             have been seen stalled, by the active clock, ns.
         networks: Connection limits by client network; None without the section `clients` of the operators'
             file.
+        over_limit: Connections accepted beyond the limit, whose requests are rejected.
         eviction_until_ns: Until when connections are read to find one that can be closed for a new one.
         registry: Decides on admission and on the connections to close for new ones.
         bodies: Accounts for the bodies of requests and enforces their limit.
@@ -100,6 +103,7 @@
         self.busy_connections: set[ClientConnection] = set()
         self.stalled: dict[ClientConnection, tuple[int, int]] = {}
         self.networks = networks
+        self.over_limit: set[ClientConnection] = set()
         self.eviction_until_ns = 0
         limit = self.descriptors.max_clients
         limits = ConnectionLimits(limit) if networks is None else networks.make_limits(limit)
@@ -143,7 +147,11 @@
             self.checks.event("slow_client_closed_descriptor_limit")
             stalled.close()
             result, evicted = self.registry.admit(connection, *self._registry_arguments(host))
-        if result is not AdmissionResult.ADMITTED:
+        if result is AdmissionResult.LIMIT_REACHED and len(self.over_limit) < MAX_OVER_LIMIT:
+            self.checks.event("new_client_rejected_descriptor_limit")
+            connection.is_over_limit = True
+            self.over_limit.add(connection)
+        elif result is not AdmissionResult.ADMITTED:
             is_full = result is AdmissionResult.LIMIT_REACHED
             limit = "descriptor_limit" if is_full else "network_cap"
             self.checks.event(f"new_client_closed_{limit}", "" if is_full else host)
@@ -164,6 +172,13 @@
             return None
         return connection
 
+    def is_full(self) -> bool:
+        """Whether a new client would be closed unread, so that it had better wait in the backlog."""
+        return (
+            len(self.over_limit) >= MAX_OVER_LIMIT
+            and len(self.registry) >= self.registry.limits.max_connections
+        )
+
     def _is_evictable(self, connection: ClientConnection, spares_partial: bool) -> bool:
         """Return whether a connection may be closed for a new one; it is read before, if there is time.
 
--- a/quincepier/net/listener.py
+++ b/quincepier/net/listener.py
@@ -17,7 +17,7 @@
 MAX_TURN_NS = 10 * clock.MS  # of accepts beyond `MAX_ACCEPTS`
 MIN_WAIT_NS = 20 * clock.MS  # time in the backlog that is counted towards a request's time
 MAX_WAIT_NS = 250 * clock.MS  # time in the backlog up to which `MAX_ACCEPTS` applies
-ACCEPT_RETRY_PAUSE_S = 0.01  # after accept failed, mostly for lack of descriptors
+ACCEPT_RETRY_PAUSE_S = 0.01  # after accept failed, or while the manager can take no client
 
 
 class AcceptResult(Enum):
@@ -98,6 +98,10 @@
         return now_ns - self.waiting_since_ns
 
     def _accept(self) -> AcceptResult:
+        if not self.is_stopped and self.manager.is_full():
+            self.manager.checks.count("accepts_delayed_descriptor_limit")
+            self._pause()
+            return AcceptResult.FAILED
         try:
             sock, address = self.sock.accept()
         except BlockingIOError:
@@ -110,9 +114,7 @@
         except OSError as error:
             self.manager.checks.event("accept_failed", str(error))
             if not self.is_stopped:
-                loop = asyncio.get_running_loop()
-                loop.remove_reader(self.sock.fileno())
-                self.retry_timer = loop.call_later(ACCEPT_RETRY_PAUSE_S, self.start)
+                self._pause()
             return AcceptResult.FAILED
         sock.setblocking(False)
         set_no_delay(sock)
@@ -124,3 +126,9 @@
             connection.set_earliest_arrival(self.waiting_since_ns)
             self.manager.reads.enqueue(connection)
         return AcceptResult.ACCEPTED
+
+    def _pause(self) -> None:
+        """Accept nothing for a short time; clients wait in the backlog."""
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.sock.fileno())
+        self.retry_timer = loop.call_later(ACCEPT_RETRY_PAUSE_S, self.start)
