Beyond the limit a new client waits 50 ms for the place of one that can be closed then

Change: while a connection is new or idle, four of the eight beyond the limit wait for 50 ms, unread, and take the place of one that can be closed by then; only then are they refused.

--- a/quincepier/net/client_connection.py
+++ b/quincepier/net/client_connection.py
@@ -142,6 +142,7 @@
         manager.registry.remove(self)
         manager.busy_connections.discard(self)
         manager.over_limit.discard(self)
+        manager.awaiting_place.discard(self)
         if session is not None:
             self.session = None
             for response in session.inbox:
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -35,6 +35,7 @@
 MAX_EVICTION_NS = 2 * clock.MS
 # Connections beyond the limit, whose requests are rejected; they use the descriptors of lingering sockets.
 MAX_OVER_LIMIT = SPARE_DESCRIPTORS
+MAX_AWAITING_PLACE = MAX_OVER_LIMIT // 2  # the others are rejected at once, so that none waits for long
 MAX_EPOLL_EVENTS = 512  # readable connections handled in one turn of the event loop
 FLUSH_TIMEOUT_S = 0.1  # at the end of the front, for responses that are being written
 LINGER_TIMEOUT_S = 0.15  # after that, for clients to close their side
@@ -66,6 +67,7 @@
         networks: Connection limits by client network; None without the section `clients` of the operators'
             file.
         over_limit: Connections accepted beyond the limit, whose requests are rejected.
+        awaiting_place: Those of them that are not read yet, as another may be closed for them soon.
         eviction_until_ns: Until when connections are read to find one that can be closed for a new one.
         registry: Decides on admission and on the connections to close for new ones.
         bodies: Accounts for the bodies of requests and enforces their limit.
@@ -104,6 +106,7 @@
         self.stalled: dict[ClientConnection, tuple[int, int]] = {}
         self.networks = networks
         self.over_limit: set[ClientConnection] = set()
+        self.awaiting_place: set[ClientConnection] = set()
         self.eviction_until_ns = 0
         limit = self.descriptors.max_clients
         limits = ConnectionLimits(limit) if networks is None else networks.make_limits(limit)
@@ -139,6 +142,32 @@
     def admit(self, sock: socket.socket, host: str = "") -> ClientConnection | None:
         """Admit a new client, if need be by closing others; else close its socket and return None."""
         connection = ClientConnection(self, sock)
+        result = self._register(connection, host)
+        is_over_limit = result is AdmissionResult.LIMIT_REACHED and len(self.over_limit) < MAX_OVER_LIMIT
+        if not (result is AdmissionResult.ADMITTED or is_over_limit):
+            is_full = result is AdmissionResult.LIMIT_REACHED
+            limit = "descriptor_limit" if is_full else "network_cap"
+            self.checks.event(f"new_client_closed_{limit}", "" if is_full else host)
+            self.lingering.add(sock)
+            return None
+        self.descriptors.add_clients(1)
+        self.lingering.close_excess()
+        self.connections.add(connection)
+        if not is_over_limit:
+            return self._start(connection)
+        connection.is_over_limit = True
+        self.over_limit.add(connection)
+        if self.registry.has_closable and len(self.awaiting_place) < MAX_AWAITING_PLACE:
+            self.awaiting_place.add(connection)
+            connection.set_earliest_arrival(clock.now())
+            wait_s = self.registry.limits.min_new_time / clock.SECOND
+            asyncio.get_running_loop().call_later(wait_s, self._start_over_limit, connection, host)
+            return connection
+        self.checks.event("new_client_rejected_descriptor_limit")
+        return self._start(connection)
+
+    def _register(self, connection: ClientConnection, host: str) -> AdmissionResult:
+        """Find a place for a connection, and close those that have to go for it."""
         if len(self.registry) >= self.registry.limits.max_connections:
             self.handle_readable()  # closes the connections whose clients have gone
         self.eviction_until_ns = clock.now() + MAX_EVICTION_NS
@@ -147,23 +176,13 @@
             self.checks.event("slow_client_closed_descriptor_limit")
             stalled.close()
             result, evicted = self.registry.admit(connection, *self._registry_arguments(host))
-        if result is AdmissionResult.LIMIT_REACHED and len(self.over_limit) < MAX_OVER_LIMIT:
-            self.checks.event("new_client_rejected_descriptor_limit")
-            connection.is_over_limit = True
-            self.over_limit.add(connection)
-        elif result is not AdmissionResult.ADMITTED:
-            is_full = result is AdmissionResult.LIMIT_REACHED
-            limit = "descriptor_limit" if is_full else "network_cap"
-            self.checks.event(f"new_client_closed_{limit}", "" if is_full else host)
-            self.lingering.add(sock)
-            return None
         for idle in evicted:
             if not idle.is_closed:
                 self.checks.event("idle_client_closed_descriptor_limit")
                 idle.close(linger=True)
-        self.descriptors.add_clients(1)
-        self.lingering.close_excess()
-        self.connections.add(connection)
+        return result
+
+    def _start(self, connection: ClientConnection) -> ClientConnection | None:
         try:
             connection.start()
         except OSError as error:  # epoll can't watch the socket
@@ -172,6 +191,18 @@
             return None
         return connection
 
+    def _start_over_limit(self, connection: ClientConnection, host: str) -> None:
+        """Give a connection beyond the limit the place of one that can be closed by now; else reject it."""
+        self.awaiting_place.discard(connection)
+        if connection.is_closed:
+            return
+        if self._register(connection, host) is AdmissionResult.ADMITTED:
+            connection.is_over_limit = False
+            self.over_limit.discard(connection)
+        else:
+            self.checks.event("new_client_rejected_descriptor_limit")
+        self._start(connection)
+
     def is_full(self) -> bool:
         """Whether a new client would be closed unread, so that it had better wait in the backlog."""
         return (
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -20,7 +20,7 @@
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.net import body_memory, lingering_sockets
 from quincepier.net.client_connection import OVER_LIMIT_TIMEOUT_S, ClientConnection
-from quincepier.net.connection_manager import MAX_OVER_LIMIT, ConnectionManager
+from quincepier.net.connection_manager import MAX_AWAITING_PLACE, MAX_OVER_LIMIT, ConnectionManager
 from quincepier.net.messages import ClientDisconnected, RequestArrived, Response
 from quincepier.net.read_scheduler import MAX_ACTIVE_READS
 from quincepier.net.sockets import set_no_delay
@@ -618,6 +618,25 @@
     on_loop(scenario)
 
 
+def test_a_new_client_gets_a_place_where_all_others_came_a_moment_ago_and_say_nothing() -> None:
+    """Guards against: it is refused though one that has had its time to begin can be closed for it soon."""
+
+    async def scenario() -> None:
+        manager = make_manager(64)
+        silent = [Peer(manager) for _ in range(manager.registry.limits.max_connections)]
+        asking = [Peer(manager, encode_request(2, params(f"{n:016x}"))) for n in range(MAX_AWAITING_PLACE)]
+        assert all(peer.at_front in manager.awaiting_place for peer in asking)
+        assert not any(peer.at_front.is_closed for peer in silent)
+        await until(lambda: len(received_job_ids(manager)) == len(asking), "the requests are taken")
+        assert not manager.over_limit and not manager.awaiting_place
+        assert sum(peer.at_front.is_closed for peer in silent) == len(asking)
+        assert len(manager.registry) == manager.registry.limits.max_connections
+        for connection in list(manager.connections):
+            connection.close()
+
+    on_loop(scenario)
+
+
 def test_clients_beyond_the_limit_that_say_nothing_give_their_places_up_soon() -> None:
     """Guards against: silent clients hold the places in which new clients are refused with an answer."""
 
