A front keeps within 32 MB beside hundreds of clients that send much

Seen: 29.2 MB resident before the first client, 36.5 MB with 300 clients of 32 whole requests each with heads of 500 fields, 32 MB set. Cause, by sizes of blocks, mappings and trials: OpenSSL, loaded by asyncio, uvloop and hashlib and used by nothing here, takes 4.4 MB; the fields of all requests of a read were held at once; each open request had a connection to a cache of its own, 12 KB each, bounded by descriptors alone. Change: the event loop is imported without OpenSSL; fields that nothing reads are checked and dropped as a request is decoded; connections to caches have a tenth of the divided memory.

--- a/quincepier/__main__.py
+++ b/quincepier/__main__.py
@@ -58,10 +58,12 @@
 import os
 import sys
 
-from quincepier.lifecycle import signals
+from quincepier.lifecycle import lean_imports, signals
 
 if __name__ == "__main__":
     signals.install_handlers(sys.argv[1:2] == ["serve"])
+    if sys.argv[1:2] == ["serve"]:
+        lean_imports.import_event_loop()
 
 from docopt import DocoptExit, docopt
 
--- a/quincepier/lifecycle/front.py
+++ b/quincepier/lifecycle/front.py
@@ -73,7 +73,7 @@
             operators,
         )
         budget = divide_memory(config.memory_mb, resident_bytes(), config.max_open)
-        self.descriptors = Descriptors(config.sockets)
+        self.descriptors = Descriptors(config.sockets, budget.max_outbound)
         reserve = self.descriptors.max_clients + self.descriptors.max_outbound
         self.pool = BufferPool(budget.max_buffers, min(reserve, budget.max_buffers // 2))
         self.module = ModuleActor(config, self.checks, self.pool, self.descriptors, budget)
--- a/quincepier/memory/memory_budget.py
+++ b/quincepier/memory/memory_budget.py
@@ -17,11 +17,14 @@
 BODY_FRACTION = 0.12
 REQUEST_FRACTION = 0.2
 REQUEST_BYTES = 6 * 1024  # one open request with its attempts, timers and commands, without its body
+OUTBOUND_FRACTION = 0.1
+OUTBOUND_BYTES = 12 * 1024  # one connection to a cache, without the buffers of its responses
 EXECUTED_ID_FRACTION = 0.02
 EXECUTED_ID_BYTES = 200  # one remembered id of a request that may have run
 MIN_BUFFERS = 64
 MIN_BODY_BYTES = 256 * 1024
 MIN_OPEN_REQUESTS = 64
+MIN_OUTBOUND = 16
 MIN_EXECUTED_IDS = 256
 
 
@@ -33,12 +36,14 @@
         max_buffers: Buffers of `BUFFER_SIZE`, over all connections and objects.
         max_body_bytes: Bytes of all request bodies together.
         max_open_requests: Requests that may be open at a time.
+        max_outbound: Connections to caches, the change log and other fronts.
         max_executed_ids: Ids remembered of requests that are over and may have run.
     """
 
     max_buffers: int
     max_body_bytes: int
     max_open_requests: int
+    max_outbound: int = MIN_OUTBOUND
     max_executed_ids: int = MIN_EXECUTED_IDS
 
 
@@ -66,5 +71,6 @@
         max_buffers=max(int(divided * BUFFER_FRACTION / BUFFER_SIZE), MIN_BUFFERS),
         max_body_bytes=max(int(divided * BODY_FRACTION), MIN_BODY_BYTES),
         max_open_requests=max(open_requests, MIN_OPEN_REQUESTS),
+        max_outbound=max(int(divided * OUTBOUND_FRACTION / OUTBOUND_BYTES), MIN_OUTBOUND),
         max_executed_ids=max(int(divided * EXECUTED_ID_FRACTION / EXECUTED_ID_BYTES), MIN_EXECUTED_IDS),
     )
--- a/quincepier/net/client_session.py
+++ b/quincepier/net/client_session.py
@@ -9,6 +9,7 @@
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.memory.open_requests import OpenRequest
 from quincepier.net.messages import Response
+from quincepier.translate import PARAM_NAMES
 from quincepier.wire import fastcgi
 
 
@@ -95,7 +96,7 @@
     )
 
     def __init__(self, max_connections: int) -> None:
-        self.decoder = fastcgi.Decoder(max_connections)
+        self.decoder = fastcgi.Decoder(max_connections, PARAM_NAMES)
         self.request_by_stream: dict[int, OpenRequest] = {}
         self.keep_open_by_stream: dict[int, bool] = {}
         self.outgoing: deque[OutgoingResponse] = deque()
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -34,6 +34,8 @@
 
     Args:
         limit: Descriptors that the process may have open.
+        max_outbound: Limit on sockets to caches, the change log and other fronts; None: half of the
+            descriptors.
 
     Attributes:
         max_clients: Limit on connections of clients.
@@ -44,10 +46,11 @@
         peak: The largest sum of these so far.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, max_outbound: int | None = None) -> None:
         usable = max(limit - RESERVED_DESCRIPTORS, 8)
         self.max_clients = usable // 2
-        self.max_outbound = usable - self.max_clients
+        remaining = usable - self.max_clients
+        self.max_outbound = remaining if max_outbound is None else min(remaining, max_outbound)
         self.clients = self.outbound = self.lingering = self.peak = 0
 
     def add_clients(self, by: int) -> None:
--- a/quincepier/translate.py
+++ b/quincepier/translate.py
@@ -72,6 +72,8 @@
     ("HTTP_X_MINE", f"({HEX_16.pattern})?"),
     ("HTTP_X_UNIQUE", "[0-9A-Za-z_-]{0,64}"),
 )
+# Parameters of a request that are read; web servers send many more.
+PARAM_NAMES = frozenset(name for name, _ in FIELDS) | {"SCRIPT_NAME", "PATH_INFO", "CONTENT_LENGTH"}
 ALL_FIELDS = re.compile("\n".join(pattern for _, pattern in FIELDS))
 
 
--- a/quincepier/wire/fastcgi.py
+++ b/quincepier/wire/fastcgi.py
@@ -32,7 +32,7 @@
 
     Attributes:
         id: Its request id.
-        params: Its parameters, decoded as Latin-1.
+        params: Its parameters, decoded as Latin-1; those that the decoder was told to keep.
         body: Its body.
         keep_connection: Whether the connection stays open after the response.
         error: Why the request can't be used; parameters and body are then incomplete. Empty: it can.
@@ -141,6 +141,7 @@
 
     Args:
         max_connections: Limit on connections, which the web server can query.
+        param_names: Names of the parameters to keep; None: all. The others are checked and dropped.
 
     Attributes:
         buffer: Received bytes of incomplete records.
@@ -153,13 +154,14 @@
         values: Values that the web server can query.
     """
 
-    def __init__(self, max_connections: int = 1) -> None:
+    def __init__(self, max_connections: int = 1, param_names: frozenset[str] | None = None) -> None:
         self.buffer = bytearray()
         self.partial_requests: dict[int, _PartialRequest] = {}
         self.bytes_to_skip = 0
         self.record_count = self.stray_count = 0
         self.unanswered_ids: set[int] = set()
         self.error: ProtocolError | None = None
+        self._param_names = param_names
         self.values = {
             "FCGI_MAX_CONNS": str(max_connections),
             "FCGI_MAX_REQS": str(max_connections * MAX_OPEN_REQUESTS),
@@ -314,6 +316,8 @@
         reason = ""
         try:
             params = read_pairs(partial.params)
+            if self._param_names is not None:
+                params = {name: params[name] for name in self._param_names if name in params}
         except ProtocolError as error:
             reason = str(error)
         return FastCgiRequest(request, params, bytes(partial.body), partial.keep_connection, reason)
--- a/tests/test_duplicate_requests.py
+++ b/tests/test_duplicate_requests.py
@@ -23,7 +23,7 @@
 
 def make_detector(max_ids: int = 8) -> tuple[DuplicateRequestDetector, OpenRequestTable, Checks]:
     requests, checks, mailbox = OpenRequestTable(100), Checks(), Mailbox[ToModule](100)
-    budget = MemoryBudget(8, 1 << 20, 100, max_ids)
+    budget = MemoryBudget(8, 1 << 20, 100, max_executed_ids=max_ids)
     dependencies = ActorDependencies(make_config(), checks, BufferPool(8), Descriptors(64), mailbox, budget)
     return DuplicateRequestDetector(dependencies, requests), requests, checks
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -48,6 +48,7 @@
     for limit in (32, 48, 64, 80, 96, 128, 192):
         budget = divide_memory(limit, 24 * MB, 20_000)
         given = budget.max_buffers * 16_384 + budget.max_body_bytes + budget.max_open_requests * 6144
+        given += budget.max_outbound * 12_288 + budget.max_executed_ids * 200
         assert given <= max(limit * 0.85 - 24, limit * 0.1) * MB and budget.max_buffers >= 64
     assert divide_memory(192, 24 * MB, 500).max_open_requests == 500
 
--- a/tests/test_wire_fastcgi.py
+++ b/tests/test_wire_fastcgi.py
@@ -273,3 +273,15 @@
     first, second = decoder.feed(encode_request(1, most | {"one": "more"}) + encode_request(2, most))
     assert isinstance(first, fastcgi.FastCgiRequest) and isinstance(second, fastcgi.FastCgiRequest)
     assert "over 512 parameters" in first.error and not first.params and not second.error
+
+
+def test_parameters_that_are_not_asked_for_are_checked_and_dropped() -> None:
+    """Guards against: hundreds of fields of each request are held while others of a read are decoded."""
+    decoder = fastcgi.Decoder(param_names=frozenset({"SCRIPT_NAME"}))
+    pairs = [(f"FIELD_{n}", "x") for n in range(400)]
+    (request,) = decoder.feed(encode_request(1, {"SCRIPT_NAME": "/ping"} | dict(pairs)))
+    assert isinstance(request, fastcgi.FastCgiRequest) and request.params == {"SCRIPT_NAME": "/ping"}
+    repeated = fastcgi.write_pairs([("SCRIPT_NAME", "/ping"), ("OTHER", "1"), ("OTHER", "2")])
+    data = encode_begin(2) + encode_record(PARAMS, 2, repeated) + encode_record(PARAMS, 2, b"")
+    (rejected,) = decoder.feed(data + encode_record(STDIN, 2, b""))
+    assert isinstance(rejected, fastcgi.FastCgiRequest) and "given twice" in rejected.error
