A moved machine takes an address over, and a full list's later start has it

A listed machine that comes up at the address of a dead one that is still listed got the work of both, since only unlisted machines counted as new; and a full list that names both, as a front that starts may get, was taken as it is. Change: who is listed at another address counts as new there; in a full list the machine at whose address another started later is left out, and both stay where no start tells them apart. Evidence: three of the five new forms fail on the code before. Measured: the tests of memory, addresses, watch, rules and actors pass; no play with processes showed either path.

--- a/quincepier/memory/machine_directory.py
+++ b/quincepier/memory/machine_directory.py
@@ -45,6 +45,23 @@
     return tuple(a for a in record.addresses if not since or latest_start.get(a, 0) <= since)
 
 
+def _drop_superseded(entry_by_host: dict[str, MachineEntry]) -> dict[str, MachineEntry]:
+    """Return a full list without the machines at whose address another started later.
+
+    Where two starts are the same, or neither is stated, the list does not tell which one is gone: both stay.
+    """
+    latest_start = dict[tuple[str, int] | None, int]()
+    for entry in entry_by_host.values():
+        if entry.machine.state is EndpointState.READY and entry.record.address is not None:
+            address, start = entry.record.address, entry.record.started_at_ms
+            latest_start[address] = max(latest_start.get(address, 0), start)
+    return {
+        host: entry
+        for host, entry in entry_by_host.items()
+        if entry.record.started_at_ms >= latest_start.get(entry.record.address, 0)
+    }
+
+
 class MachineDirectory:
     """All listed machines, and the numbers of unlisted ones that are still in use.
 
@@ -127,8 +144,9 @@
     def apply(self, change: FleetChange, scope: UpdateScope = UpdateScope.CHANGES) -> EndpointUpdate:
         """Apply a change completely or, if one of its records can't be used, not at all.
 
-        The last record of a host counts. A new machine at the address of a listed one implies that the listed
-        one is gone, even if the log does not say so: requests for it would reach the new one.
+        The last record of a host counts. A machine that is new at the address of a listed one implies that
+        the listed one is gone, even if the log does not say so: requests for it would reach the new one. So
+        does a later start in a full list.
 
         Args:
             change: Records of hosts, all or those that changed.
@@ -141,10 +159,11 @@
             ProtocolError: A record names a zone or kind that the settings don't have.
         """
         changed = {record.host: MachineEntry(record, self._to_machine(record)) for record in change.hosts}
-        if not change.is_full_list:
-            changed |= self._replaced_entries(changed)
         if change.is_full_list:
+            changed = _drop_superseded(changed)
             self.entry_by_host.clear()
+        else:
+            changed |= self._replaced_entries(changed)
         for host, entry in changed.items():
             if entry.machine.state is EndpointState.GONE:
                 self.entry_by_host.pop(host, None)
@@ -153,12 +172,12 @@
         return EndpointUpdate(scope, tuple(entry.machine for entry in changed.values()))
 
     def _replaced_entries(self, changed: dict[str, MachineEntry]) -> dict[str, MachineEntry]:
-        """Return entries of listed machines of which a new machine has taken an address.
+        """Return entries of listed machines of which a new or moved machine has taken an address.
 
         Their state is GONE, unless they have further addresses: these stay. Where machines have several
         addresses, two of them may share one; a machine that started later than another has taken it.
         """
-        new = [entry for host, entry in changed.items() if host not in self.entry_by_host]
+        new = [entry for host, entry in changed.items() if self._is_new_at_address(host, entry.record)]
         freed = {e.record.address for e in changed.values() if e.machine.state is EndpointState.GONE}
         ready = [e.record for e in new if e.machine.state is EndpointState.READY]
         occupied = {record.address for record in ready} - freed - {None}
@@ -174,6 +193,11 @@
                 replaced[host] = MachineEntry(replace(entry.record, addresses=left), entry.machine)
         return replaced
 
+    def _is_new_at_address(self, host: str, record: HostRecord) -> bool:
+        """Whether a record names a machine that is not listed, or is listed at another address."""
+        previous = self.entry_by_host.get(host)
+        return previous is None or previous.record.address != record.address
+
     def replace_numbers(self, text: str) -> str:
         """Return a log line of the router with host ids in place of machine numbers."""
         return " ".join(
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -131,6 +131,40 @@
     assert gone == ([] if left else [directory.number_by_host["s-1"]])
 
 
+def test_a_machine_that_moves_to_the_address_of_a_dead_one_takes_it() -> None:
+    """Guards against: a known machine comes up at another's address and gets the work of both."""
+    directory = MachineDirectory(("west", "east"), ("std", "parent"))
+    dead = host_record("s-1", address=("127.0.0.9", 1))
+    moving = host_record("s-2", address=("127.0.0.9", 2))
+    directory.apply(FleetChange(1, True, (dead, moving)))
+    moved = host_record("s-2", address=("127.0.0.9", 1), started_at_ms=5_000)
+    update = directory.apply(FleetChange(2, False, (moved,)))
+    states = {directory.host_by_number[m.number]: m.state for m in update.endpoints}
+    assert states == {"s-1": EndpointState.GONE, "s-2": EndpointState.READY}
+    assert [r.host for _, r in directory.listed_hosts()] == ["s-2"]
+
+
+@pytest.mark.parametrize(
+    ("starts", "listed"),
+    [
+        ((0, 5_000), ["s-2"]),
+        ((7_000, 5_000), ["s-1"]),
+        ((0, 0), ["s-1", "s-2"]),
+        ((5_000, 5_000), ["s-1", "s-2"]),
+    ],
+)
+def test_of_two_machines_at_one_address_in_a_full_list_the_later_start_counts(
+    starts: tuple[int, int], listed: list[str]
+) -> None:
+    """Guards against: the list falls behind, and a front that starts sends both machines' work to one."""
+    directory = MachineDirectory(("west", "east"), ("std", "parent"))
+    records = tuple(host_record(f"s-{n}", started_at_ms=start) for n, start in enumerate(starts, 1))
+    other = host_record("s-3", address=("127.0.0.9", 7))
+    update = directory.apply(FleetChange(1, True, (*records, other)), UpdateScope.FULL)
+    assert [r.host for _, r in directory.listed_hosts()] == [*listed, "s-3"]
+    assert {directory.host_by_number[m.number] for m in update.endpoints} == {*listed, "s-3"}
+
+
 def test_a_full_list_replaces_all_machines_and_a_change_adds() -> None:
     directory = new_directory()
     update = directory.apply(
