No idle connection goes for one that waited for a place and sent nothing

Traced: silent clients that had come before it waited for a place beyond the limit, and after their 50 ms each displaced the connection that had been idle longest, which was the usual one. Change: one that has sent nothing in its wait gets only a place that is free, and is closed otherwise; as many wait as there are connections that can be closed soon, in place of four, so that silent ones do not fill the wait. Evidence: the new test fails with the check taken out.

--- a/quincepier/clients/registry.py
+++ b/quincepier/clients/registry.py
@@ -169,12 +169,10 @@
 
     # Connections to close
 
-    @property
-    def has_closable(self) -> bool:
-        """Whether a connection is new or idle, so that it can be closed now or soon."""
-        return any(
-            n.new_since_by_connection or n.idle_since_by_connection for n in self.network_by_name.values()
-        )
+    def count_closable(self) -> int:
+        """Return how many connections are new or idle, so that they can be closed now or soon."""
+        networks = self.network_by_name.values()
+        return sum(len(n.new_since_by_connection) + len(n.idle_since_by_connection) for n in networks)
 
     def find_evictable(self, now: int) -> K | None:
         """Return the connection that would be closed now for a new one, or None if none can be."""
--- a/quincepier/net/connection_manager.py
+++ b/quincepier/net/connection_manager.py
@@ -20,7 +20,7 @@
 from quincepier.net.client_connection import ClientConnection
 from quincepier.net.lingering_sockets import POLL_INTERVAL_S, SPARE_DESCRIPTORS, LingeringSockets
 from quincepier.net.read_scheduler import ReadScheduler
-from quincepier.net.sockets import is_writable
+from quincepier.net.sockets import is_readable, is_writable
 from quincepier.timers import ActiveClock, TimerWheel
 from quincepier.translate import make_class_table
 
@@ -35,7 +35,6 @@
 MAX_EVICTION_NS = 2 * clock.MS
 # Connections beyond the limit, whose requests are rejected; they use the descriptors of lingering sockets.
 MAX_OVER_LIMIT = SPARE_DESCRIPTORS
-MAX_AWAITING_PLACE = MAX_OVER_LIMIT // 2  # the others are rejected at once, so that none waits for long
 MAX_EPOLL_EVENTS = 512  # readable connections handled in one turn of the event loop
 FLUSH_TIMEOUT_S = 0.1  # at the end of the front, for responses that are being written
 LINGER_TIMEOUT_S = 0.15  # after that, for clients to close their side
@@ -157,7 +156,7 @@
             return self._start(connection)
         connection.is_over_limit = True
         self.over_limit.add(connection)
-        if self.registry.has_closable and len(self.awaiting_place) < MAX_AWAITING_PLACE:
+        if len(self.awaiting_place) < self.registry.count_closable():
             self.awaiting_place.add(connection)
             connection.set_earliest_arrival(clock.now())
             wait_s = self.registry.limits.min_new_time / clock.SECOND
@@ -192,10 +191,17 @@
         return connection
 
     def _start_over_limit(self, connection: ClientConnection, host: str) -> None:
-        """Give a connection beyond the limit the place of one that can be closed by now; else reject it."""
+        """Give a connection beyond the limit the place of one that can be closed by now; else reject it.
+
+        No other is closed for one that has sent nothing in its wait; it is closed itself.
+        """
         self.awaiting_place.discard(connection)
         if connection.is_closed:
             return
+        has_place = len(self.registry) < self.registry.limits.max_connections
+        if not (has_place or is_readable(connection.sock)):
+            connection.close_gracefully()
+            return
         if self._register(connection, host) is AdmissionResult.ADMITTED:
             connection.is_over_limit = False
             self.over_limit.discard(connection)
--- a/quincepier/net/sockets.py
+++ b/quincepier/net/sockets.py
@@ -171,10 +171,19 @@
     return True
 
 
+def is_readable(sock: socket.socket) -> bool:
+    """Whether a socket has bytes to read or the end of its stream, or fails at once."""
+    return _is_ready(sock, select.POLLIN)
+
+
 def is_writable(sock: socket.socket) -> bool:
     """Whether a socket takes bytes now, or fails at once."""
+    return _is_ready(sock, select.POLLOUT)
+
+
+def _is_ready(sock: socket.socket, events: int) -> bool:
     poll = select.poll()
-    poll.register(sock, select.POLLOUT)
+    poll.register(sock, events)
     return bool(poll.poll(0))
 
 
--- a/tests/test_crossings_client.py
+++ b/tests/test_crossings_client.py
@@ -20,7 +20,7 @@
 from quincepier.memory.buffer_pool import PooledBody
 from quincepier.net import body_memory, lingering_sockets
 from quincepier.net.client_connection import OVER_LIMIT_TIMEOUT_S, ClientConnection
-from quincepier.net.connection_manager import MAX_AWAITING_PLACE, MAX_OVER_LIMIT, ConnectionManager
+from quincepier.net.connection_manager import MAX_OVER_LIMIT, ConnectionManager
 from quincepier.net.messages import ClientDisconnected, RequestArrived, Response
 from quincepier.net.read_scheduler import MAX_ACTIVE_READS
 from quincepier.net.sockets import set_no_delay
@@ -624,7 +624,7 @@
     async def scenario() -> None:
         manager = make_manager(64)
         silent = [Peer(manager) for _ in range(manager.registry.limits.max_connections)]
-        asking = [Peer(manager, encode_request(2, params(f"{n:016x}"))) for n in range(MAX_AWAITING_PLACE)]
+        asking = [Peer(manager, encode_request(2, params(f"{n:016x}"))) for n in range(MAX_OVER_LIMIT)]
         assert all(peer.at_front in manager.awaiting_place for peer in asking)
         assert not any(peer.at_front.is_closed for peer in silent)
         await until(lambda: len(received_job_ids(manager)) == len(asking), "the requests are taken")
@@ -637,6 +637,24 @@
     on_loop(scenario)
 
 
+def test_no_idle_connection_goes_for_one_that_waited_for_its_place_and_said_nothing() -> None:
+    """Guards against: a silent client that came before a usual one displaces it after its wait."""
+
+    async def scenario() -> None:
+        manager = make_manager(64)
+        silent = [Peer(manager) for _ in range(manager.registry.limits.max_connections - 1)]
+        usual = Peer(manager)
+        waiting = [Peer(manager) for _ in range(MAX_OVER_LIMIT)]
+        await usual.complete_request()
+        await until(lambda: not manager.awaiting_place, "their wait is over")
+        assert not usual.at_front.is_closed and not any(peer.at_front.is_closed for peer in silent)
+        assert all(peer.at_front.is_closed for peer in waiting)
+        for connection in list(manager.connections):
+            connection.close()
+
+    on_loop(scenario)
+
+
 def test_clients_beyond_the_limit_that_say_nothing_give_their_places_up_soon() -> None:
     """Guards against: silent clients hold the places in which new clients are refused with an answer."""
 
